--- /dev/null
+++ b/src/admin/admin_module.cc
@@ -0,0 +1,53 @@
+#include <memory>
+
+#include "admin/internal/admin_handler.h"
+#include "http/i_http_runtime.h"
+#include "kernel/module_registry.h"
+
+namespace banyanlane::admin {
+namespace {
+
+using kernel::Role;
+using kernel::SettingKind;
+
+/// Exports IStatusBoard and opens the operators' port.
+class AdminModule : public kernel::IModule {
+ public:
+  void Export(kernel::ModuleContext& context) override {
+    this->handler =
+        std::make_shared<AdminHandler>(context.Resolve<kernel::AuditTrail>(),
+                                       context.Resolve<kernel::Metrics>());
+    context.Export<IStatusBoard>(this->handler);
+    this->address = context.settings().Text("admin", "address");
+  }
+  void Resolve(kernel::ModuleContext& context) override {
+    this->runtime = context.Resolve<http::IHttpRuntime>();
+  }
+  void Start() override {
+    auto opened = this->runtime->Listen(this->address, this->handler,
+                                        http::ServerLimits{});
+    if (const kernel::Error* error = kernel::ErrorOf(opened)) {
+      throw std::runtime_error(kernel::Describe(*error));
+    }
+    this->server =
+        std::get<std::shared_ptr<http::IHttpServer>>(std::move(opened));
+  }
+  void Stop() override { this->server->StopAccepting(); }
+
+ private:
+  std::string address;
+  std::shared_ptr<AdminHandler> handler;
+  std::shared_ptr<http::IHttpRuntime> runtime;
+  std::shared_ptr<http::IHttpServer> server;
+};
+
+const kernel::ModuleRegistration kRegistration(
+    {"admin",
+     {Role::kEntry, Role::kAgent},
+     kernel::StartOrder::kConfig,
+     {{"admin", "address", SettingKind::kText, "127.0.0.1:0", false, 0, 0,
+       "Where operators read status, metrics and the audit trail."}},
+     [] { return std::make_unique<AdminModule>(); }});
+
+}  // namespace
+}  // namespace banyanlane::admin
--- /dev/null
+++ b/src/agent/internal/agent_core.cc
@@ -0,0 +1,857 @@
+#include "agent/internal/agent_core.h"
+
+#include <algorithm>
+
+#include "kernel/hash.h"
+
+namespace banyanlane::agent {
+namespace {
+
+using kernel::EventId;
+using link::Outcome;
+using link::Reason;
+
+constexpr std::size_t kChunkBytes = std::size_t{64} * 1024;
+constexpr std::uint64_t kRetryWhenFullMillis = 500;
+constexpr std::uint64_t kRetryWhenDownMillis = 1'000;
+constexpr kernel::Millis kProbePeriod{500};
+constexpr std::int64_t kBytesPerToken = 4;
+constexpr std::string_view kStreamEndMark = "[DONE]";
+constexpr std::size_t kStreamEndWindow = 64;
+
+std::uint64_t RetryAfter(Reason reason) {
+  switch (reason) {
+    case Reason::kFull:
+      return kRetryWhenFullMillis;
+    case Reason::kEndpointDown:
+      return kRetryWhenDownMillis;
+    default:
+      return 0;
+  }
+}
+
+std::uint64_t KeyLifetime(const config::Profile& profile) {
+  constexpr std::uint64_t kMillisPerSecond = 1'000;
+  return static_cast<std::uint64_t>(profile.key_lifetime_s) * kMillisPerSecond;
+}
+
+std::int64_t CountTokens(std::string_view data) {
+  std::int64_t count = 0;
+  for (std::size_t at = data.find("data:"); at != std::string_view::npos;
+       at = data.find("data:", at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+bool IsEventStream(const link::WireHeaders& headers) {
+  return http::HeaderOf(headers, "content-type")
+             .rfind("text/event-stream", 0) == 0;
+}
+
+}  // namespace
+
+AgentCore::AgentCore(AgentIdentity identity, const AgentLimits& limits,
+                     std::unique_ptr<IChargePolicy> charge_policy)
+    : identity(std::move(identity)),
+      limits(limits),
+      charge_policy(std::move(charge_policy)),
+      admission_state(limits.admission),
+      ledger(this->identity.node, this->identity.incarnation,
+             limits.ledger_entries, limits.ledger_answer_bytes),
+      crash_evidence(limits.evidence_lifetime) {}
+
+void AgentCore::OnConfig(config::ConfigPtr config) {
+  this->config = std::move(config);
+}
+
+AgentActions AgentCore::OnLinkUp(std::uint64_t link, kernel::TimePoint now) {
+  for (link::Evidence& evidence : this->crash_evidence.All(now)) {
+    this->Do(SendMessage{link, std::move(evidence)});
+  }
+  return this->Take();
+}
+
+AgentActions AgentCore::OnLinkDown(std::uint64_t link, kernel::TimePoint now) {
+  std::vector<std::string> ids;
+  for (const auto& [id, stream] : this->streams) ids.push_back(id);
+  for (const std::string& id : ids) {
+    if (Stream* stream = this->Find(id))
+      this->DropSubscribers(*stream, link, nullptr, now);
+  }
+  this->RunWaiting(now);
+  return this->Take();
+}
+
+AgentActions AgentCore::OnMessage(std::uint64_t link, link::Message message,
+                                  kernel::TimePoint now) {
+  if (auto* submit = std::get_if<link::Submit>(&message))
+    this->On(link, *submit, now);
+  if (auto* revoke = std::get_if<link::Revoke>(&message))
+    this->On(link, *revoke, now);
+  if (auto* cancel = std::get_if<link::Cancel>(&message))
+    this->On(link, *cancel, now);
+  if (auto* resume = std::get_if<link::Resume>(&message))
+    this->On(link, *resume, now);
+  if (auto* consumed = std::get_if<link::Consumed>(&message))
+    this->On(link, *consumed, now);
+  if (auto* evidence = std::get_if<link::Evidence>(&message))
+    this->On(link, *evidence, now);
+  return this->Take();
+}
+
+std::optional<Reason> AgentCore::Objection(const link::Submit& submit,
+                                           const config::Profile* profile,
+                                           kernel::TimePoint now) const {
+  const bool revoked =
+      this->revocations.count({submit.request, submit.attempt}) > 0;
+  if (revoked) return Reason::kRevoked;
+  if (this->ClockMillis(now) > submit.start_by_ms) return Reason::kExpired;
+  if (profile == nullptr || profile->service != this->identity.service) {
+    return Reason::kUnknownProfile;
+  }
+  return std::nullopt;
+}
+
+void AgentCore::On(std::uint64_t link, link::Submit& submit,
+                   kernel::TimePoint now) {
+  if (this->FindByRequest(submit.request) != nullptr) return;
+  const config::Profile* profile =
+      this->config ? this->config->FindProfile(submit.profile) : nullptr;
+  if (const auto objection = this->Objection(submit, profile, now)) {
+    this->RefuseUnclaimed(link, submit, profile, *objection, now);
+    return;
+  }
+  std::optional<IdempotencyKey> key;
+  if (!submit.key.empty() || !profile->repeatable) {
+    if (!this->ClaimKey(link, submit, *profile, key, now)) return;
+  }
+  std::optional<Reason> refusal;
+  const auto standing =
+      this->crash_evidence.StandingOf(submit.fingerprint, now);
+  if (standing == evidence::Standing::kQuarantined)
+    refusal = Reason::kQuarantined;
+  if (!this->endpoint_up) refusal = Reason::kEndpointDown;
+  if (this->leaving) refusal = Reason::kLeaving;
+  if (refusal) {
+    if (key) this->ledger.MarkNotRun(key->nonce);
+    this->RefuseSubmit(link, submit, *refusal);
+    return;
+  }
+  const std::uint64_t attempt = submit.attempt;
+  auto stream = std::make_unique<Stream>(std::move(submit), this->config,
+                                         profile, this->limits.buffer_bytes);
+  stream->key = std::move(key);
+  stream->alone = standing == evidence::Standing::kSuspect;
+  Subscriber subscriber;
+  subscriber.link = link;
+  subscriber.request = stream->work.request;
+  subscriber.attempt = attempt;
+  stream->subscribers.push_back(std::move(subscriber));
+  this->Admit(std::move(stream), now);
+}
+
+bool AgentCore::ClaimKey(std::uint64_t link, const link::Submit& submit,
+                         const config::Profile& profile,
+                         std::optional<IdempotencyKey>& key,
+                         kernel::TimePoint now) {
+  key = IdempotencyKey::Parse(submit.key);
+  if (!key) {
+    this->RefuseSubmit(link, submit, Reason::kWrongIncarnation,
+                       Outcome::kUnknown);
+    return false;
+  }
+  using LedgerClaim = ExecutionLedger::Claim;
+  const LedgerClaim claim = this->ledger.TryClaim(
+      *key, submit.organisation, submit.fingerprint, submit.request,
+      KeyLifetime(profile), this->ClockMillis(now));
+  switch (claim) {
+    case LedgerClaim::kFresh:
+      return true;
+    case LedgerClaim::kRunning:
+      this->AttachToRunning(link, submit, this->ledger.Find(key->nonce)->stream,
+                            now);
+      return false;
+    case LedgerClaim::kCompleted:
+      this->AnswerFromLedger(link, submit, *this->ledger.Find(key->nonce));
+      return false;
+    case LedgerClaim::kUnknown:
+      this->RefuseSubmit(link, submit, Reason::kEndpointFailed,
+                         Outcome::kUnknown);
+      return false;
+    case LedgerClaim::kNotRun:
+      this->RefuseSubmit(link, submit, Reason::kKeySpent);
+      return false;
+    case LedgerClaim::kWrongIncarnation:
+      this->RefuseSubmit(link, submit, Reason::kWrongIncarnation,
+                         Outcome::kUnknown);
+      return false;
+    case LedgerClaim::kExpired:
+      this->RefuseSubmit(link, submit, Reason::kKeyExpired, Outcome::kUnknown);
+      return false;
+    case LedgerClaim::kConflict:
+      this->Do(Report{EventId::kKeyConflict,
+                      {{"organisation", submit.organisation}}});
+      this->RefuseSubmit(link, submit, Reason::kKeyConflict);
+      return false;
+    case LedgerClaim::kFull:
+      this->RefuseSubmit(link, submit, Reason::kFull, Outcome::kUnknown);
+      return false;
+  }
+  return false;
+}
+
+void AgentCore::RefuseUnclaimed(std::uint64_t link, const link::Submit& submit,
+                                const config::Profile* profile, Reason reason,
+                                kernel::TimePoint now) {
+  Outcome outcome = Outcome::kNotRun;
+  if (!submit.key.empty()) {
+    const auto key = IdempotencyKey::Parse(submit.key);
+    const bool burnt =
+        key && profile != nullptr &&
+        this->ledger.Burn(*key, submit.organisation, submit.fingerprint,
+                          KeyLifetime(*profile), this->ClockMillis(now));
+    if (!burnt) outcome = Outcome::kUnknown;
+  }
+  this->RefuseSubmit(link, submit, reason, outcome);
+}
+
+void AgentCore::AnswerFromLedger(std::uint64_t link, const link::Submit& submit,
+                                 const ExecutionLedger::Entry& entry) {
+  const ExecutionLedger::Answer& answer = entry.answer;
+  if (!answer.body_kept) {
+    this->RefuseSubmit(link, submit, Reason::kAnswerTooLarge,
+                       Outcome::kCompleted);
+    return;
+  }
+  const std::uint64_t incarnation = this->identity.incarnation;
+  this->Do(SendMessage{link, link::Started{submit.request, submit.attempt}});
+  this->Do(
+      SendMessage{link, link::Head{submit.request, submit.attempt, incarnation,
+                                   answer.status, answer.headers}});
+  if (!answer.body.empty()) {
+    this->Do(SendMessage{
+        link, link::Chunk{submit.request, submit.attempt, incarnation, 0,
+                          link::Blob{answer.body}}});
+  }
+  this->Do(SendMessage{
+      link, link::Ended{submit.request, submit.attempt, incarnation,
+                        Outcome::kCompleted, Reason::kNone, answer.body.size(),
+                        kernel::Digest(answer.body), 0}});
+}
+
+void AgentCore::AttachToRunning(std::uint64_t link, const link::Submit& submit,
+                                const std::string& stream_id,
+                                kernel::TimePoint now) {
+  Stream* stream = this->Find(stream_id);
+  if (stream == nullptr) {
+    this->RefuseSubmit(link, submit, Reason::kEndpointFailed,
+                       Outcome::kUnknown);
+    return;
+  }
+  Subscriber subscriber;
+  subscriber.link = link;
+  subscriber.request = submit.request;
+  subscriber.attempt = submit.attempt;
+  stream->subscribers.push_back(std::move(subscriber));
+  stream->detached_at.reset();
+  this->stream_of_request[submit.request] = stream_id;
+  this->Do(Report{EventId::kAnswerResumed,
+                  {{"request", submit.request}, {"stream", stream_id}}});
+  this->Pump(*stream);
+  if (stream->state == StreamState::kEnded) this->ExpireStream(*stream, now);
+}
+
+void AgentCore::Admit(std::unique_ptr<Stream> stream, kernel::TimePoint now) {
+  const std::string id = stream->work.request;
+  Claim claim;
+  claim.request = id;
+  claim.priority =
+      std::min<std::int64_t>(static_cast<std::int64_t>(stream->work.priority),
+                             stream->profile->priority_ceiling);
+  const auto reserved = std::min<std::int64_t>(
+      static_cast<std::int64_t>(stream->work.reserved_tokens),
+      stream->profile->max_output_tokens);
+  claim.tokens = this->charge_policy->Charge(
+      stream->profile->name, stream->work.organisation, reserved);
+  claim.alone = stream->alone;
+  std::optional<std::string> displaced;
+  const Admission::Verdict verdict =
+      this->admission_state.Add(claim, displaced);
+  Stream& kept = *stream;
+  this->streams.emplace(id, std::move(stream));
+  this->stream_of_request[id] = id;
+  if (displaced)
+    this->Finish(*this->Find(*displaced), Outcome::kNotRun, Reason::kFull, now);
+  if (verdict == Admission::Verdict::kFull) {
+    this->Finish(kept, Outcome::kNotRun, Reason::kFull, now);
+  }
+  if (verdict == Admission::Verdict::kRun) this->Begin(kept, now);
+}
+
+void AgentCore::Begin(Stream& stream, kernel::TimePoint /*now*/) {
+  stream.state = StreamState::kRunning;
+  for (Subscriber& subscriber : stream.subscribers) {
+    subscriber.started_sent = true;
+    this->Do(SendMessage{subscriber.link, link::Started{subscriber.request,
+                                                        subscriber.attempt}});
+  }
+  StartCall call;
+  call.stream = stream.work.request;
+  call.request.method = stream.work.method;
+  call.request.target = stream.work.target;
+  call.request.headers = stream.work.headers;
+  call.request.body = std::move(stream.work.body.bytes);
+  call.head_timeout = kernel::Millis(stream.profile->attempt_timeout_ms);
+  this->Do(std::move(call));
+}
+
+void AgentCore::RunWaiting(kernel::TimePoint now) {
+  if (this->probing || !this->endpoint_up) return;
+  for (const std::string& id : this->admission_state.TakeRunnable()) {
+    if (Stream* stream = this->Find(id)) this->Begin(*stream, now);
+  }
+}
+
+void AgentCore::On(std::uint64_t link, const link::Revoke& revoke,
+                   kernel::TimePoint now) {
+  Stream* stream = this->FindByRequest(revoke.request);
+  if (stream != nullptr && stream->state != StreamState::kQueued) return;
+  if (stream != nullptr) {
+    this->Finish(*stream, Outcome::kNotRun, Reason::kRevoked, now);
+    return;
+  }
+  this->revocations[{revoke.request, revoke.attempt}] = revoke.start_by_ms;
+  link::Ended ended;
+  ended.request = revoke.request;
+  ended.attempt = revoke.attempt;
+  ended.incarnation = this->identity.incarnation;
+  ended.outcome = Outcome::kNotRun;
+  ended.reason = Reason::kRevoked;
+  this->Do(SendMessage{link, std::move(ended)});
+}
+
+void AgentCore::On(std::uint64_t link, const link::Cancel& cancel,
+                   kernel::TimePoint now) {
+  Stream* stream = this->FindByRequest(cancel.request);
+  if (stream == nullptr) return;
+  this->DropSubscribers(*stream, link, &cancel.request, now);
+  stream = this->FindByRequest(cancel.request);
+  if (stream != nullptr && stream->subscribers.empty() && cancel.at_once) {
+    this->OnNobodyReads(*stream, true, now);
+  }
+  this->RunWaiting(now);
+}
+
+void AgentCore::On(std::uint64_t link, const link::Resume& resume,
+                   kernel::TimePoint /*now*/) {
+  Stream* stream = this->FindByRequest(resume.request);
+  const bool allowed =
+      stream != nullptr && stream->work.organisation == resume.organisation;
+  link::Ended refusal;
+  refusal.request = resume.request;
+  refusal.attempt = resume.attempt;
+  refusal.incarnation = this->identity.incarnation;
+  refusal.outcome = Outcome::kUnknown;
+  refusal.reason = allowed ? Reason::kOffsetGone : Reason::kNotFound;
+  const bool offset_held = allowed && resume.offset >= stream->buffer.Begin() &&
+                           resume.offset <= stream->buffer.End();
+  if (!offset_held) {
+    this->Do(SendMessage{link, std::move(refusal)});
+    return;
+  }
+  // The newest reader under this id takes over from the one before.
+  auto& readers = stream->subscribers;
+  readers.erase(std::remove_if(readers.begin(), readers.end(),
+                               [&resume](const Subscriber& reader) {
+                                 return reader.request == resume.request;
+                               }),
+                readers.end());
+  Subscriber subscriber;
+  subscriber.link = link;
+  subscriber.request = resume.request;
+  subscriber.attempt = resume.attempt;
+  subscriber.sent = resume.offset;
+  subscriber.consumed = resume.offset;
+  stream->subscribers.push_back(std::move(subscriber));
+  stream->detached_at.reset();
+  this->Do(Report{EventId::kAnswerResumed,
+                  {{"request", resume.request},
+                   {"offset", std::to_string(resume.offset)}}});
+  this->Pump(*stream);
+}
+
+void AgentCore::On(std::uint64_t link, const link::Consumed& consumed,
+                   kernel::TimePoint /*now*/) {
+  Stream* stream = this->FindByRequest(consumed.request);
+  if (stream == nullptr) return;
+  for (Subscriber& subscriber : stream->subscribers) {
+    const bool matches = subscriber.link == link &&
+                         subscriber.request == consumed.request &&
+                         subscriber.attempt == consumed.attempt;
+    if (!matches || consumed.offset > subscriber.sent) continue;
+    subscriber.consumed = std::max(subscriber.consumed, consumed.offset);
+    stream->acknowledged = std::max(stream->acknowledged, subscriber.consumed);
+  }
+  this->Pump(*stream);
+}
+
+void AgentCore::On(std::uint64_t /*link*/, const link::Evidence& evidence,
+                   kernel::TimePoint now) {
+  if (!this->crash_evidence.Merge(evidence, now)) return;
+  this->Do(Broadcast{evidence});
+  this->ApplyStandingToWaiting(evidence.fingerprint, now);
+  this->RunWaiting(now);
+}
+
+void AgentCore::ApplyStandingToWaiting(const std::string& fingerprint,
+                                       kernel::TimePoint now) {
+  const auto standing = this->crash_evidence.StandingOf(fingerprint, now);
+  if (standing == evidence::Standing::kClear) return;
+  std::vector<std::string> waiting;
+  for (const auto& [id, stream] : this->streams) {
+    const bool matches = stream->work.fingerprint == fingerprint;
+    if (matches && stream->state == StreamState::kQueued) waiting.push_back(id);
+  }
+  for (const std::string& id : waiting) {
+    Stream& stream = *this->Find(id);
+    if (standing == evidence::Standing::kQuarantined) {
+      this->Finish(stream, Outcome::kNotRun, Reason::kQuarantined, now);
+      continue;
+    }
+    stream.alone = true;
+    this->admission_state.RequireAlone(id);
+  }
+}
+
+AgentActions AgentCore::OnCallHead(const std::string& stream_id, int status,
+                                   const http::Headers& headers,
+                                   kernel::TimePoint /*now*/) {
+  Stream* stream = this->Find(stream_id);
+  if (stream == nullptr || stream->state != StreamState::kRunning)
+    return this->Take();
+  stream->head_known = true;
+  stream->status = static_cast<std::uint64_t>(status);
+  stream->headers = headers;
+  this->Pump(*stream);
+  return this->Take();
+}
+
+AgentActions AgentCore::OnCallData(const std::string& stream_id,
+                                   std::string_view data,
+                                   kernel::TimePoint /*now*/) {
+  Stream* stream = this->Find(stream_id);
+  if (stream == nullptr || stream->state != StreamState::kRunning)
+    return this->Take();
+  stream->buffer.Append(data);
+  stream->tokens +=
+      IsEventStream(stream->headers)
+          ? CountTokens(data)
+          : static_cast<std::int64_t>(data.size()) / kBytesPerToken;
+  this->admission_state.RaiseCharge(stream_id, stream->tokens);
+  this->Pump(*stream);
+  return this->Take();
+}
+
+AgentActions AgentCore::OnCallEnd(const std::string& stream_id,
+                                  kernel::TimePoint now) {
+  Stream* stream = this->Find(stream_id);
+  if (stream == nullptr || stream->state != StreamState::kRunning)
+    return this->Take();
+  const std::string_view kept = stream->buffer.Kept();
+  const std::string_view tail =
+      kept.substr(kept.size() - std::min(kept.size(), kStreamEndWindow));
+  constexpr std::uint64_t kOk = 200;
+  const bool must_be_marked =
+      IsEventStream(stream->headers) && stream->status == kOk;
+  if (must_be_marked && tail.find(kStreamEndMark) == std::string_view::npos) {
+    this->Finish(*stream, Outcome::kUnknown, Reason::kEndpointFailed, now);
+  } else {
+    this->charge_policy->Observe(stream->profile->name,
+                                 stream->work.organisation,
+                                 std::max<std::int64_t>(1, stream->tokens));
+    if (stream->alone) {
+      if (auto cleared = this->crash_evidence.RecordClearance(
+              stream->work.fingerprint, now)) {
+        this->Do(Report{EventId::kWorkCleared,
+                        {{"fingerprint", cleared->fingerprint}}});
+        this->Do(Audit{kernel::AuditKind::kClearance, cleared->fingerprint,
+                       "ran alone to its end"});
+        this->Do(Broadcast{std::move(*cleared)});
+      }
+    }
+    this->Finish(*stream, Outcome::kCompleted, Reason::kNone, now);
+  }
+  this->RunWaiting(now);
+  return this->Take();
+}
+
+AgentActions AgentCore::OnCallFailed(const std::string& stream_id,
+                                     const kernel::Error& error,
+                                     http::SendState state,
+                                     kernel::TimePoint now) {
+  Stream* stream = this->Find(stream_id);
+  if (stream == nullptr || stream->state != StreamState::kRunning)
+    return this->Take();
+  if (state == http::SendState::kNotSent) {
+    const Reason reason =
+        stream->cancelled ? Reason::kCancelled : Reason::kEndpointDown;
+    this->Finish(*stream, Outcome::kNotRun, reason, now);
+    if (reason == Reason::kEndpointDown) this->BeginProbe();
+    return this->Take();
+  }
+  const bool cut = error.code == kernel::ErrorCode::kCut && !stream->cancelled;
+  if (!cut) {
+    this->Finish(
+        *stream, Outcome::kUnknown,
+        stream->cancelled ? Reason::kCancelled : Reason::kEndpointFailed, now);
+    this->RunWaiting(now);
+    return this->Take();
+  }
+  if (!this->probing) {
+    this->crash_cohort.clear();
+    for (const auto& [id, other] : this->streams) {
+      if (other->state != StreamState::kRunning) continue;
+      this->crash_cohort.emplace_back(other->work.fingerprint,
+                                      other->profile->crash_limit);
+    }
+    std::sort(this->crash_cohort.begin(), this->crash_cohort.end());
+  }
+  // The caller is told once it is known whether the endpoint crashed, so that
+  // the evidence reaches the entries ahead of a retry.
+  this->parked.push_back({stream_id, Reason::kEndpointFailed});
+  this->BeginProbe();
+  return this->Take();
+}
+
+void AgentCore::BeginProbe() {
+  if (this->probing) return;
+  this->probing = true;
+  this->Do(ProbeEndpoint{});
+}
+
+AgentActions AgentCore::OnProbe(bool up, std::string_view boot,
+                                kernel::TimePoint now) {
+  const bool rebooted =
+      up && !this->endpoint_boot.empty() && boot != this->endpoint_boot;
+  if (up) this->endpoint_boot = std::string(boot);
+  if (this->endpoint_up && !up) {
+    this->Do(Report{EventId::kEndpointLost,
+                    {{"running", std::to_string(this->crash_cohort.size())}}});
+  }
+  if (!this->endpoint_up && up)
+    this->Do(Report{EventId::kEndpointBack, {{"boot", std::string(boot)}}});
+  this->endpoint_up = up;
+  this->probing = false;
+  this->last_probe = now;
+  this->SettleParked(!up || rebooted, now);
+  this->RunWaiting(now);
+  return this->Take();
+}
+
+void AgentCore::SettleParked(bool crashed, kernel::TimePoint now) {
+  const bool alone = this->crash_cohort.size() == 1;
+  const std::string crash = this->identity.node + "/" +
+                            std::to_string(this->identity.incarnation) + "/" +
+                            std::to_string(this->crash_count + 1);
+  if (crashed && !this->crash_cohort.empty()) {
+    ++this->crash_count;
+    for (const auto& [fingerprint, limit] : this->crash_cohort) {
+      link::Evidence evidence = this->crash_evidence.RecordCrash(
+          fingerprint, crash, alone, limit, now);
+      const bool quarantined =
+          evidence.suspicion == link::Suspicion::kQuarantined;
+      this->Do(Report{
+          quarantined ? EventId::kWorkQuarantined : EventId::kWorkSuspected,
+          {{"fingerprint", fingerprint}, {"crash", crash}}});
+      if (quarantined) {
+        this->Do(Audit{kernel::AuditKind::kQuarantine, fingerprint,
+                       "crash " + crash});
+      }
+      this->Do(Broadcast{std::move(evidence)});
+      this->ApplyStandingToWaiting(fingerprint, now);
+    }
+  }
+  this->crash_cohort.clear();
+  std::vector<ParkedFailure> failures;
+  failures.swap(this->parked);
+  for (const ParkedFailure& failure : failures) {
+    Stream* stream = this->Find(failure.stream);
+    if (stream != nullptr)
+      this->Finish(*stream, Outcome::kUnknown, failure.reason, now);
+  }
+}
+
+AgentActions AgentCore::OnLeaving(std::string_view cause,
+                                  kernel::TimePoint now) {
+  if (this->leaving) return this->Take();
+  this->leaving = true;
+  this->Do(Report{EventId::kEndpointLeaving, {{"cause", std::string(cause)}}});
+  this->Do(Audit{kernel::AuditKind::kDrain, this->identity.node,
+                 std::string(cause)});
+  this->Do(Broadcast{this->StateAt(now)});
+  return this->Take();
+}
+
+AgentActions AgentCore::OnTick(kernel::TimePoint now) {
+  std::vector<std::string> ids;
+  for (const auto& [id, stream] : this->streams) ids.push_back(id);
+  for (const std::string& id : ids) {
+    if (Stream* stream = this->Find(id)) this->ExpireStream(*stream, now);
+  }
+  const std::uint64_t clock = this->ClockMillis(now);
+  for (auto it = this->revocations.begin(); it != this->revocations.end();) {
+    it = it->second < clock ? this->revocations.erase(it) : std::next(it);
+  }
+  this->ledger.Expire(clock);
+  this->crash_evidence.Expire(now);
+  if (!this->endpoint_up && now - this->last_probe >= kProbePeriod)
+    this->BeginProbe();
+  this->RunWaiting(now);
+  return this->Take();
+}
+
+void AgentCore::ExpireStream(Stream& stream, kernel::TimePoint now) {
+  const std::uint64_t clock = this->ClockMillis(now);
+  const auto grace = kernel::Millis(stream.profile->resume_grace_ms);
+  if (stream.state == StreamState::kQueued) {
+    const bool late = clock > stream.work.start_by_ms;
+    if (late) this->Finish(stream, Outcome::kNotRun, Reason::kExpired, now);
+    return;
+  }
+  if (stream.state == StreamState::kEnded) {
+    if (now - stream.ended_at >= grace) this->ForgetStream(stream.work.request);
+    return;
+  }
+  if (clock > stream.work.deadline_ms) {
+    this->Abandon(stream, Reason::kDeadline, now);
+    return;
+  }
+  const bool unread = stream.detached_at && now - *stream.detached_at >= grace;
+  if (unread) this->OnNobodyReads(stream, true, now);
+}
+
+void AgentCore::DropSubscribers(Stream& stream, std::uint64_t link,
+                                const std::string* request,
+                                kernel::TimePoint now) {
+  auto& readers = stream.subscribers;
+  const std::size_t before = readers.size();
+  readers.erase(std::remove_if(readers.begin(), readers.end(),
+                               [&](const Subscriber& reader) {
+                                 return reader.link == link &&
+                                        (request == nullptr ||
+                                         reader.request == *request);
+                               }),
+                readers.end());
+  if (readers.size() == before) return;
+  if (!readers.empty()) {
+    this->Pump(stream);
+    return;
+  }
+  this->OnNobodyReads(stream, false, now);
+}
+
+void AgentCore::OnNobodyReads(Stream& stream, bool at_once,
+                              kernel::TimePoint now) {
+  if (stream.state == StreamState::kEnded) return;
+  if (!stream.detached_at) stream.detached_at = now;
+  if (stream.state == StreamState::kQueued) {
+    this->Finish(stream, Outcome::kNotRun, Reason::kCancelled, now);
+    return;
+  }
+  // Work that must not run twice goes on to its end, so that its outcome is
+  // known.
+  if (stream.key) return;
+  if (at_once) this->Abandon(stream, Reason::kCancelled, now);
+}
+
+void AgentCore::Abandon(Stream& stream, Reason reason, kernel::TimePoint now) {
+  stream.cancelled = true;
+  // What the caller left unread counts as not used, so that later reservations
+  // cost less.
+  this->charge_policy->Observe(stream.profile->name, stream.work.organisation,
+                               std::max<std::int64_t>(1, stream.tokens));
+  this->Do(AbortCall{stream.work.request});
+  this->Finish(stream, Outcome::kUnknown, reason, now);
+}
+
+void AgentCore::Finish(Stream& stream, Outcome outcome, Reason reason,
+                       kernel::TimePoint now) {
+  if (stream.state == StreamState::kEnded) return;
+  stream.state = StreamState::kEnded;
+  stream.ended_at = now;
+  stream.outcome = outcome;
+  stream.reason = reason;
+  if (outcome == Outcome::kCompleted && stream.buffer.IsWhole()) {
+    stream.digest = kernel::Digest(stream.buffer.Kept());
+  }
+  this->admission_state.Remove(stream.work.request);
+  this->SettleKey(stream);
+  this->Pump(stream);
+  // An attempt that never ran leaves nothing to come back for.
+  if (outcome == Outcome::kNotRun) this->ForgetStream(stream.work.request);
+}
+
+void AgentCore::SettleKey(const Stream& stream) {
+  if (!stream.key) return;
+  const std::string& nonce = stream.key->nonce;
+  if (stream.outcome == Outcome::kNotRun) {
+    this->ledger.MarkNotRun(nonce);
+    return;
+  }
+  if (stream.outcome == Outcome::kUnknown) {
+    this->ledger.MarkUnknown(nonce);
+    return;
+  }
+  ExecutionLedger::Answer answer;
+  answer.status = stream.status;
+  answer.headers = stream.headers;
+  answer.body_kept = stream.buffer.IsWhole();
+  answer.body = std::string(stream.buffer.Kept());
+  this->ledger.Complete(nonce, std::move(answer));
+}
+
+void AgentCore::ForgetStream(const std::string& id) {
+  for (auto it = this->stream_of_request.begin();
+       it != this->stream_of_request.end();) {
+    it = it->second == id ? this->stream_of_request.erase(it) : std::next(it);
+  }
+  this->streams.erase(id);
+}
+
+void AgentCore::Pump(Stream& stream) {
+  for (Subscriber& subscriber : stream.subscribers)
+    this->PumpSubscriber(stream, subscriber);
+  if (stream.state == StreamState::kRunning) this->AdjustPace(stream);
+  if (stream.state != StreamState::kEnded) return;
+  auto& readers = stream.subscribers;
+  const auto done = [&stream](const Subscriber& reader) {
+    return stream.outcome != Outcome::kCompleted ||
+           reader.sent == stream.buffer.End();
+  };
+  for (const Subscriber& reader : readers) {
+    if (done(reader)) this->SendEnd(stream, reader);
+  }
+  readers.erase(std::remove_if(readers.begin(), readers.end(), done),
+                readers.end());
+}
+
+void AgentCore::PumpSubscriber(Stream& stream, Subscriber& subscriber) {
+  const std::uint64_t incarnation = this->identity.incarnation;
+  if (stream.state != StreamState::kQueued && !subscriber.started_sent) {
+    subscriber.started_sent = true;
+    this->Do(SendMessage{subscriber.link, link::Started{subscriber.request,
+                                                        subscriber.attempt}});
+  }
+  if (!stream.head_known) return;
+  if (!subscriber.head_sent) {
+    subscriber.head_sent = true;
+    this->Do(
+        SendMessage{subscriber.link,
+                    link::Head{subscriber.request, subscriber.attempt,
+                               incarnation, stream.status, stream.headers}});
+  }
+  const auto window =
+      static_cast<std::uint64_t>(stream.profile->unread_window_bytes);
+  const std::uint64_t until =
+      std::min(stream.buffer.End(), subscriber.consumed + window);
+  subscriber.sent = std::max(subscriber.sent, stream.buffer.Begin());
+  while (subscriber.sent < until) {
+    const std::size_t most =
+        std::min<std::size_t>(kChunkBytes, until - subscriber.sent);
+    const std::string_view part = stream.buffer.Read(subscriber.sent, most);
+    this->Do(SendMessage{
+        subscriber.link,
+        link::Chunk{subscriber.request, subscriber.attempt, incarnation,
+                    subscriber.sent, link::Blob{std::string(part)}}});
+    subscriber.sent += part.size();
+  }
+}
+
+void AgentCore::SendEnd(const Stream& stream, const Subscriber& subscriber) {
+  link::Ended ended;
+  ended.request = subscriber.request;
+  ended.attempt = subscriber.attempt;
+  ended.incarnation = this->identity.incarnation;
+  ended.outcome = stream.outcome;
+  ended.reason = stream.reason;
+  ended.length = stream.buffer.End();
+  ended.digest = stream.digest;
+  ended.retry_after_ms = RetryAfter(stream.reason);
+  this->Do(SendMessage{subscriber.link, std::move(ended)});
+}
+
+void AgentCore::AdjustPace(Stream& stream) {
+  const auto window =
+      static_cast<std::uint64_t>(stream.profile->unread_window_bytes);
+  std::uint64_t slowest = stream.acknowledged;
+  for (const Subscriber& subscriber : stream.subscribers) {
+    slowest = std::min(slowest, subscriber.consumed);
+  }
+  const std::uint64_t unread = stream.buffer.End() - slowest;
+  if (!stream.paused && unread > window) {
+    stream.paused = true;
+    this->Do(PauseCall{stream.work.request});
+  }
+  if (stream.paused && unread <= window / 2) {
+    stream.paused = false;
+    this->Do(ResumeCall{stream.work.request});
+  }
+}
+
+void AgentCore::RefuseSubmit(std::uint64_t link, const link::Submit& submit,
+                             Reason reason, Outcome outcome) {
+  link::Ended ended;
+  ended.request = submit.request;
+  ended.attempt = submit.attempt;
+  ended.incarnation = this->identity.incarnation;
+  ended.outcome = outcome;
+  ended.reason = reason;
+  ended.retry_after_ms = RetryAfter(reason);
+  this->Do(SendMessage{link, std::move(ended)});
+}
+
+link::Heartbeat AgentCore::StateAt(kernel::TimePoint now) const {
+  link::Heartbeat heartbeat;
+  heartbeat.revision = this->config ? this->config->revision : 0;
+  heartbeat.clock_ms = this->ClockMillis(now);
+  heartbeat.leaving = this->leaving;
+  heartbeat.endpoint_up = this->endpoint_up;
+  heartbeat.running = this->admission_state.Running();
+  heartbeat.queued = this->admission_state.Queued();
+  heartbeat.slots = this->limits.admission.slots;
+  return heartbeat;
+}
+
+std::size_t AgentCore::Unfinished() const {
+  std::size_t count = 0;
+  for (const auto& [id, stream] : this->streams) {
+    const bool being_read = !stream->subscribers.empty();
+    if (stream->state != StreamState::kEnded || being_read) ++count;
+  }
+  return count;
+}
+
+std::uint64_t AgentCore::ClockMillis(kernel::TimePoint now) const {
+  return static_cast<std::uint64_t>(
+      kernel::MillisBetween(this->identity.started, now));
+}
+
+Stream* AgentCore::Find(const std::string& id) {
+  const auto found = this->streams.find(id);
+  return found == this->streams.end() ? nullptr : found->second.get();
+}
+
+Stream* AgentCore::FindByRequest(const std::string& request) {
+  const auto found = this->stream_of_request.find(request);
+  return found == this->stream_of_request.end() ? nullptr
+                                                : this->Find(found->second);
+}
+
+AgentActions AgentCore::Take() {
+  AgentActions taken;
+  taken.swap(this->actions);
+  return taken;
+}
+
+}  // namespace banyanlane::agent
--- /dev/null
+++ b/src/agent/internal/agent_core.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "agent/internal/admission.h"
+#include "agent/internal/agent_actions.h"
+#include "agent/internal/charge_policy.h"
+#include "agent/internal/execution_ledger.h"
+#include "agent/internal/stream.h"
+#include "config/profile.h"
+#include "evidence/crash_evidence.h"
+#include "http/i_http_runtime.h"
+#include "kernel/time.h"
+#include "link/messages.h"
+
+namespace banyanlane::agent {
+
+/// What an agent is told about itself.
+struct AgentIdentity {
+  std::string node;
+  std::uint64_t incarnation = 0;
+  kernel::TimePoint started;
+  std::string service;
+};
+
+/// Bounds on what an agent holds.
+struct AgentLimits {
+  AdmissionLimits admission;
+  std::size_t buffer_bytes = std::size_t{1024} * 1024;  ///< Kept of one answer.
+  std::size_t ledger_entries = 100'000;  ///< Idempotency keys remembered.
+  std::size_t ledger_answer_bytes =
+      std::size_t{64} * 1024;  ///< Kept of one keyed answer.
+  kernel::Millis evidence_lifetime{600'000};
+};
+
+/// All decisions about one endpoint: the only path to it. I/O-free; not
+/// thread-safe.
+class AgentCore {
+ public:
+  AgentCore(AgentIdentity identity, const AgentLimits& limits,
+            std::unique_ptr<IChargePolicy> charge_policy);
+
+  void OnConfig(config::ConfigPtr config);
+  AgentActions OnLinkUp(std::uint64_t link, kernel::TimePoint now);
+  AgentActions OnLinkDown(std::uint64_t link, kernel::TimePoint now);
+  /// Takes a message about a request or evidence; others are ignored.
+  AgentActions OnMessage(std::uint64_t link, link::Message message,
+                         kernel::TimePoint now);
+
+  AgentActions OnCallHead(const std::string& stream, int status,
+                          const http::Headers& headers, kernel::TimePoint now);
+  AgentActions OnCallData(const std::string& stream, std::string_view data,
+                          kernel::TimePoint now);
+  AgentActions OnCallEnd(const std::string& stream, kernel::TimePoint now);
+  AgentActions OnCallFailed(const std::string& stream,
+                            const kernel::Error& error, http::SendState state,
+                            kernel::TimePoint now);
+
+  /// The endpoint was probed. @param boot its own name for this life, or "".
+  AgentActions OnProbe(bool up, std::string_view boot, kernel::TimePoint now);
+
+  /// The endpoint leaves: no new work from here on.
+  AgentActions OnLeaving(std::string_view cause, kernel::TimePoint now);
+  AgentActions OnTick(kernel::TimePoint now);
+
+  /// Returns what links say about this agent.
+  link::Heartbeat StateAt(kernel::TimePoint now) const;
+  bool IsLeaving() const { return this->leaving; }
+
+  /// Returns the number of answers that are not yet whole and read.
+  std::size_t Unfinished() const;
+
+  std::size_t StreamCount() const { return this->streams.size(); }
+  const Admission& admission() const { return this->admission_state; }
+  std::uint64_t ClockMillis(kernel::TimePoint now) const;
+
+ private:
+  struct ParkedFailure {
+    std::string stream;
+    link::Reason reason;
+  };
+
+  void On(std::uint64_t link, link::Submit& submit, kernel::TimePoint now);
+  void On(std::uint64_t link, const link::Revoke& revoke,
+          kernel::TimePoint now);
+  void On(std::uint64_t link, const link::Cancel& cancel,
+          kernel::TimePoint now);
+  void On(std::uint64_t link, const link::Resume& resume,
+          kernel::TimePoint now);
+  void On(std::uint64_t link, const link::Consumed& consumed,
+          kernel::TimePoint now);
+  void On(std::uint64_t link, const link::Evidence& evidence,
+          kernel::TimePoint now);
+
+  /// Returns why `submit` can't run here, if anything speaks against it.
+  std::optional<link::Reason> Objection(const link::Submit& submit,
+                                        const config::Profile* profile,
+                                        kernel::TimePoint now) const;
+  /// Deals with a keyed submit. @return whether it may go on to admission.
+  bool ClaimKey(std::uint64_t link, const link::Submit& submit,
+                const config::Profile& profile,
+                std::optional<IdempotencyKey>& key, kernel::TimePoint now);
+  /// Refuses a submit whose key, if any, was not claimed.
+  void RefuseUnclaimed(std::uint64_t link, const link::Submit& submit,
+                       const config::Profile* profile, link::Reason reason,
+                       kernel::TimePoint now);
+  void AnswerFromLedger(std::uint64_t link, const link::Submit& submit,
+                        const ExecutionLedger::Entry& entry);
+  void AttachToRunning(std::uint64_t link, const link::Submit& submit,
+                       const std::string& stream_id, kernel::TimePoint now);
+  void Admit(std::unique_ptr<Stream> stream, kernel::TimePoint now);
+  void Begin(Stream& stream, kernel::TimePoint now);
+  void RunWaiting(kernel::TimePoint now);
+
+  /// Sends each subscriber what it may have by now, and holds the endpoint back
+  /// or lets it go on.
+  void Pump(Stream& stream);
+  void PumpSubscriber(Stream& stream, Subscriber& subscriber);
+  void SendEnd(const Stream& stream, const Subscriber& subscriber);
+  void AdjustPace(Stream& stream);
+
+  void Finish(Stream& stream, link::Outcome outcome, link::Reason reason,
+              kernel::TimePoint now);
+  void SettleKey(const Stream& stream);
+  void ForgetStream(const std::string& id);
+  void DropSubscribers(Stream& stream, std::uint64_t link,
+                       const std::string* request, kernel::TimePoint now);
+  void OnNobodyReads(Stream& stream, bool at_once, kernel::TimePoint now);
+  void Abandon(Stream& stream, link::Reason reason, kernel::TimePoint now);
+  void RefuseSubmit(std::uint64_t link, const link::Submit& submit,
+                    link::Reason reason,
+                    link::Outcome outcome = link::Outcome::kNotRun);
+  /// Applies what is now known of `fingerprint` to work that still waits.
+  void ApplyStandingToWaiting(const std::string& fingerprint,
+                              kernel::TimePoint now);
+  void BeginProbe();
+  void SettleParked(bool crashed, kernel::TimePoint now);
+  void ExpireStream(Stream& stream, kernel::TimePoint now);
+
+  Stream* Find(const std::string& id);
+  Stream* FindByRequest(const std::string& request);
+  template <typename Action>
+  void Do(Action action) {
+    this->actions.push_back(std::move(action));
+  }
+  AgentActions Take();
+
+  AgentIdentity identity;
+  AgentLimits limits;
+  std::unique_ptr<IChargePolicy> charge_policy;
+  config::ConfigPtr config;
+  Admission admission_state;
+  ExecutionLedger ledger;
+  evidence::CrashEvidence crash_evidence;
+  std::unordered_map<std::string, std::unique_ptr<Stream>> streams;
+  std::unordered_map<std::string, std::string> stream_of_request;
+  /// Revoked attempts and the agent time past which they could not start
+  /// anyway.
+  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> revocations;
+
+  bool leaving = false;
+  bool endpoint_up = true;
+  std::string endpoint_boot;
+  bool probing = false;
+  std::vector<std::pair<std::string, std::int64_t>>
+      crash_cohort;  ///< Fingerprint, crash limit.
+  std::vector<ParkedFailure> parked;
+  std::uint64_t crash_count = 0;
+  kernel::TimePoint last_probe;
+  AgentActions actions;
+};
+
+}  // namespace banyanlane::agent
--- /dev/null
+++ b/src/agent/internal/agent_service.cc
@@ -0,0 +1,233 @@
+#include "agent/internal/agent_service.h"
+
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "kernel/event_log.h"
+
+namespace banyanlane::agent {
+namespace {
+
+constexpr kernel::Millis kConnectTimeout{1'000};
+constexpr kernel::Millis kSilenceTimeout{5'000};
+constexpr kernel::Millis kProbeTimeout{500};
+constexpr int kOk = 200;
+
+}  // namespace
+
+/// Passes the endpoint's answer to the core.
+class AgentService::CallObserver : public http::IHttpCallObserver {
+ public:
+  CallObserver(std::shared_ptr<AgentService> service, std::string stream)
+      : service(std::move(service)), stream(std::move(stream)) {}
+
+  void OnHead(int status, const http::Headers& headers) override {
+    this->service->Decide([&](AgentCore& core, kernel::TimePoint now) {
+      return core.OnCallHead(this->stream, status, headers, now);
+    });
+  }
+  void OnData(std::string_view data) override {
+    this->service->Decide([&](AgentCore& core, kernel::TimePoint now) {
+      return core.OnCallData(this->stream, data, now);
+    });
+  }
+  void OnEnd() override {
+    this->service->calls.Erase(this->stream);
+    this->service->Decide([&](AgentCore& core, kernel::TimePoint now) {
+      return core.OnCallEnd(this->stream, now);
+    });
+  }
+  void OnFailed(const kernel::Error& error, http::SendState state) override {
+    this->service->calls.Erase(this->stream);
+    this->service->Decide([&](AgentCore& core, kernel::TimePoint now) {
+      return core.OnCallFailed(this->stream, error, state, now);
+    });
+  }
+
+ private:
+  std::shared_ptr<AgentService> service;
+  std::string stream;
+};
+
+/// Passes the result of a probe to the core.
+class AgentService::ProbeObserver : public http::IHttpCallObserver {
+ public:
+  explicit ProbeObserver(std::shared_ptr<AgentService> service)
+      : service(std::move(service)) {}
+
+  void OnHead(int status, const http::Headers& /*headers*/) override {
+    this->status = status;
+  }
+  void OnData(std::string_view data) override { this->body += data; }
+  void OnEnd() override {
+    const auto parsed = nlohmann::json::parse(this->body, nullptr, false);
+    const bool named = parsed.is_object() && parsed.contains("boot") &&
+                       parsed["boot"].is_string();
+    this->Tell(this->status == kOk,
+               named ? parsed["boot"].get<std::string>() : "");
+  }
+  void OnFailed(const kernel::Error& /*error*/,
+                http::SendState /*state*/) override {
+    this->Tell(false, "");
+  }
+
+ private:
+  void Tell(bool up, const std::string& boot) {
+    this->service->Decide([&](AgentCore& core, kernel::TimePoint now) {
+      return core.OnProbe(up, boot, now);
+    });
+  }
+
+  std::shared_ptr<AgentService> service;
+  int status = 0;
+  std::string body;
+};
+
+AgentService::AgentService(std::unique_ptr<AgentCore> core,
+                           std::string endpoint_address,
+                           std::string health_path,
+                           std::shared_ptr<http::IHttpRuntime> runtime,
+                           std::shared_ptr<kernel::AuditTrail> audit,
+                           std::shared_ptr<kernel::Metrics> metrics)
+    : core(std::move(core)),
+      endpoint_address(std::move(endpoint_address)),
+      health_path(std::move(health_path)),
+      runtime(std::move(runtime)),
+      audit(std::move(audit)),
+      metrics(std::move(metrics)) {}
+
+template <typename Decision>
+void AgentService::Decide(Decision decide) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    AgentActions actions = decide(*this->core, kernel::Clock::now());
+    std::move(actions.begin(), actions.end(), std::back_inserter(this->undone));
+    // One thread performs at a time, so that actions are done in the order of
+    // their decisions.
+    if (this->performing) return;
+    this->performing = true;
+  }
+  while (true) {
+    AgentActions batch;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      batch.swap(this->undone);
+      this->performing = !batch.empty();
+    }
+    if (batch.empty()) return;
+    this->Perform(batch);
+  }
+}
+
+void AgentService::OnLinkUp(const link::LinkPtr& link,
+                            kernel::TimePoint /*now*/) {
+  this->links.Set(link->id(), link);
+  this->Decide([&](AgentCore& core, kernel::TimePoint now) {
+    return core.OnLinkUp(link->id(), now);
+  });
+}
+
+void AgentService::OnMessage(const link::LinkPtr& link, link::Message message,
+                             kernel::TimePoint /*now*/) {
+  this->Decide([&](AgentCore& core, kernel::TimePoint now) {
+    return core.OnMessage(link->id(), std::move(message), now);
+  });
+}
+
+void AgentService::OnLinkDown(const link::LinkPtr& link,
+                              kernel::TimePoint /*now*/) {
+  this->links.Erase(link->id());
+  this->Decide([&](AgentCore& core, kernel::TimePoint now) {
+    return core.OnLinkDown(link->id(), now);
+  });
+}
+
+void AgentService::OnConfig(const config::ConfigPtr& config) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->core->OnConfig(config);
+}
+
+void AgentService::OnTick(kernel::TimePoint /*now*/) {
+  this->Decide(
+      [](AgentCore& core, kernel::TimePoint now) { return core.OnTick(now); });
+}
+
+void AgentService::OnLeaving(std::string_view cause,
+                             kernel::TimePoint /*now*/) {
+  this->Decide([cause](AgentCore& core, kernel::TimePoint now) {
+    return core.OnLeaving(cause, now);
+  });
+}
+
+link::Heartbeat AgentService::State(kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->core->StateAt(now);
+}
+
+std::size_t AgentService::Unfinished() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->core->Unfinished();
+}
+
+void AgentService::Perform(AgentActions& actions) {
+  for (AgentAction& action : actions) {
+    std::visit([this](auto& known) { this->Perform(known); }, action);
+  }
+}
+
+void AgentService::Perform(SendMessage& action) {
+  if (const auto link = this->links.Find(action.link))
+    (*link)->Send(action.message);
+}
+
+void AgentService::Perform(Broadcast& action) {
+  for (const link::LinkPtr& link : this->links.Values())
+    link->Send(action.message);
+}
+
+void AgentService::Perform(StartCall& action) {
+  this->metrics->Count("banyanlane_endpoint_calls_total");
+  http::CallLimits limits;
+  limits.connect_timeout = kConnectTimeout;
+  limits.head_timeout = action.head_timeout;
+  limits.silence_timeout = kSilenceTimeout;
+  // The call is stored under the shard's lock before its end can erase it.
+  this->calls.With(action.stream, [&](std::shared_ptr<http::IHttpCall>& call) {
+    call = this->runtime->Call(this->endpoint_address,
+                               std::move(action.request), limits,
+                               std::make_shared<CallObserver>(
+                                   this->shared_from_this(), action.stream));
+  });
+}
+
+void AgentService::Perform(AbortCall& action) {
+  if (const auto call = this->calls.Find(action.stream)) (*call)->Abort();
+}
+
+void AgentService::Perform(PauseCall& action) {
+  if (const auto call = this->calls.Find(action.stream)) (*call)->Pause();
+}
+
+void AgentService::Perform(ResumeCall& action) {
+  if (const auto call = this->calls.Find(action.stream)) (*call)->Resume();
+}
+
+void AgentService::Perform(ProbeEndpoint& /*action*/) {
+  http::HttpRequest request;
+  request.target = this->health_path;
+  const http::CallLimits limits{kProbeTimeout, kProbeTimeout, kProbeTimeout};
+  this->runtime->Call(
+      this->endpoint_address, std::move(request), limits,
+      std::make_shared<ProbeObserver>(this->shared_from_this()));
+}
+
+void AgentService::Perform(Report& action) {
+  kernel::LogEvent(action.event, action.fields);
+}
+
+void AgentService::Perform(Audit& action) {
+  this->audit->Record(action.kind, action.subject, 0, action.cause,
+                      std::chrono::system_clock::now());
+}
+
+}  // namespace banyanlane::agent
--- /dev/null
+++ b/src/agent/internal/agent_service.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "agent/internal/agent_core.h"
+#include "http/i_http_runtime.h"
+#include "kernel/audit_trail.h"
+#include "kernel/metrics.h"
+#include "kernel/sharded_map.h"
+#include "link/i_link.h"
+
+namespace banyanlane::agent {
+
+/// Binds AgentCore to links and to the endpoint's HTTP interface.
+class AgentService : public link::ILinkObserver,
+                     public std::enable_shared_from_this<AgentService> {
+ public:
+  AgentService(std::unique_ptr<AgentCore> core, std::string endpoint_address,
+               std::string health_path,
+               std::shared_ptr<http::IHttpRuntime> runtime,
+               std::shared_ptr<kernel::AuditTrail> audit,
+               std::shared_ptr<kernel::Metrics> metrics);
+
+  void OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) override;
+  void OnMessage(const link::LinkPtr& link, link::Message message,
+                 kernel::TimePoint now) override;
+  void OnLinkDown(const link::LinkPtr& link, kernel::TimePoint now) override;
+
+  void OnConfig(const config::ConfigPtr& config);
+  void OnTick(kernel::TimePoint now);
+  void OnLeaving(std::string_view cause, kernel::TimePoint now);
+  link::Heartbeat State(kernel::TimePoint now);
+  std::size_t Unfinished();
+
+ private:
+  class CallObserver;
+  class ProbeObserver;
+
+  /// Calls `decide` on the core under its lock, then carries out its actions
+  /// without the lock.
+  template <typename Decision>
+  void Decide(Decision decide);
+  void Perform(AgentActions& actions);
+  void Perform(SendMessage& action);
+  void Perform(Broadcast& action);
+  void Perform(StartCall& action);
+  void Perform(AbortCall& action);
+  void Perform(PauseCall& action);
+  void Perform(ResumeCall& action);
+  void Perform(ProbeEndpoint& action);
+  void Perform(Report& action);
+  void Perform(Audit& action);
+
+  std::mutex mutex;
+  std::unique_ptr<AgentCore> core;
+  AgentActions undone;      ///< Decided, and not yet done.
+  bool performing = false;  ///< A thread is doing them.
+  std::string endpoint_address;
+  std::string health_path;
+  std::shared_ptr<http::IHttpRuntime> runtime;
+  std::shared_ptr<kernel::AuditTrail> audit;
+  std::shared_ptr<kernel::Metrics> metrics;
+  kernel::ShardedMap<std::uint64_t, link::LinkPtr> links;
+  kernel::ShardedMap<std::string, std::shared_ptr<http::IHttpCall>> calls;
+};
+
+}  // namespace banyanlane::agent
--- /dev/null
+++ b/src/agent/internal/answer_buffer.cc
@@ -0,0 +1,19 @@
+#include "agent/internal/answer_buffer.h"
+
+namespace banyanlane::agent {
+
+void AnswerBuffer::Append(std::string_view data) {
+  this->bytes += data;
+  if (this->bytes.size() <= this->limit_bytes) return;
+  // Drops down to half of the limit, so that not every append moves the rest.
+  const std::size_t excess = this->bytes.size() - this->limit_bytes / 2;
+  this->bytes.erase(0, excess);
+  this->base += excess;
+}
+
+std::string_view AnswerBuffer::Read(std::uint64_t offset,
+                                    std::size_t most) const {
+  return std::string_view(this->bytes).substr(offset - this->base, most);
+}
+
+}  // namespace banyanlane::agent
--- /dev/null
+++ b/src/agent/internal/execution_ledger.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "agent/idempotency_key.h"
+#include "link/messages.h"
+
+namespace banyanlane::agent {
+
+/// Remembers which issued keys have been used, for as long as each could come
+/// again. A key names this process, so this memory is the only one that has to
+/// know.
+class ExecutionLedger {
+ public:
+  /// What a claim found.
+  enum class Claim {
+    kFresh,      ///< Now claimed: the work can start.
+    kRunning,    ///< Claimed before; `Entry::stream` runs it.
+    kCompleted,  ///< Ran; `Entry::stream` or the stored answer has the result.
+    kUnknown,    ///< Was sent, and its end was never seen.
+    kNotRun,     ///< A caller was told that it did not run, so it never may.
+    kWrongIncarnation,  ///< Names another process, or an earlier life of this
+                        ///< one.
+    kExpired,   ///< Older than the key's lifetime, or issued in the future.
+    kConflict,  ///< Came before with other work or another organisation.
+    kFull,      ///< No room to remember it, so it must not run.
+  };
+
+  /// A stored result.
+  struct Answer {
+    std::uint64_t status = 0;
+    link::WireHeaders headers;
+    std::string body;
+    bool body_kept = false;
+  };
+
+  /// What is remembered of one key.
+  struct Entry {
+    enum class State { kRunning, kCompleted, kUnknown, kNotRun };
+    State state = State::kRunning;
+    std::string organisation;
+    std::string fingerprint;
+    std::string stream;
+    std::uint64_t expires_ms = 0;
+    Answer answer;
+  };
+
+  ExecutionLedger(std::string agent, std::uint64_t incarnation,
+                  std::size_t most_entries, std::size_t most_answer_bytes);
+
+  /// Claims `key` for `stream`, if it was never claimed.
+  /// @param lifetime_ms how long after its issue the key can be used.
+  /// @param clock_ms this agent's clock.
+  Claim TryClaim(const IdempotencyKey& key, std::string_view organisation,
+                 std::string_view fingerprint, std::string_view stream,
+                 std::uint64_t lifetime_ms, std::uint64_t clock_ms);
+
+  /// Returns what is remembered of `nonce`, or null.
+  const Entry* Find(const std::string& nonce) const;
+
+  /// The work ended whole.
+  void Complete(const std::string& nonce, Answer answer);
+  /// The work was sent, and how it ended is not known.
+  void MarkUnknown(const std::string& nonce);
+  /// A caller is told that the work did not run: spends the key, since another
+  /// copy of the request may still be on its way. @return false when the key is
+  /// not one that this ledger can speak for, so that the outcome is unknown.
+  bool Burn(const IdempotencyKey& key, std::string_view organisation,
+            std::string_view fingerprint, std::uint64_t lifetime_ms,
+            std::uint64_t clock_ms);
+  /// The work claimed under `nonce` was provably not sent: spends its key.
+  void MarkNotRun(const std::string& nonce);
+
+  /// Drops entries whose key can't be used any more.
+  void Expire(std::uint64_t clock_ms);
+
+  std::size_t Size() const { return this->entries.size(); }
+
+ private:
+  std::string agent;
+  std::uint64_t incarnation;
+  std::size_t most_entries;
+  std::size_t most_answer_bytes;
+  std::unordered_map<std::string, Entry> entries;
+  std::multimap<std::uint64_t, std::string> expiries;
+};
+
+}  // namespace banyanlane::agent
--- /dev/null
+++ b/src/app/main.cc
@@ -0,0 +1,159 @@
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "app/role_process.h"
+#include "config/i_config.h"
+#include "http/i_http_runtime.h"
+#include "kernel/event_log.h"
+
+ABSL_FLAG(std::string, settings, "",
+          "INI file with the settings of an entry or agent");
+ABSL_FLAG(std::string, profile, "", "profile, for explain");
+ABSL_FLAG(std::string, prefix, "", "text of the first message, for explain");
+
+namespace banyanlane::app {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+constexpr kernel::Millis kAdminTimeout{3'000};
+
+constexpr char kUsage[] =
+    R"(load balancer for expert-parallel model groups
+
+  banyanlane entry --settings=FILE     run an entry: takes requests from callers
+  banyanlane agent --settings=FILE     run an agent: the only path to one endpoint
+  banyanlane check FILE                check a configuration before it is published
+  banyanlane settings entry|agent      list the settings of a role
+  banyanlane events                    list the log events
+  banyanlane status ADDRESS            show a live process, by its admin address
+  banyanlane audit ADDRESS             show its latest changes
+  banyanlane explain ADDRESS --profile=NAME [--prefix=TEXT]
+                                       show where a request would go, and why
+)";
+
+int Fail(const kernel::Error& error) {
+  std::cerr << "banyanlane: " << kernel::Describe(error) << "\n";
+  return kExitFailed;
+}
+
+int RunRole(kernel::Role role) {
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  if (path.empty()) {
+    std::cerr << "banyanlane: --settings=FILE is required\n";
+    return kExitUsage;
+  }
+  auto assembled = RoleProcess::Assemble(role, path);
+  if (const kernel::Error* error = kernel::ErrorOf(assembled))
+    return Fail(*error);
+  return std::get<0>(assembled)->Run();
+}
+
+int CheckConfig(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return Fail({kernel::ErrorCode::kInvalidConfig, "check", "",
+                 path + ": cannot be opened"});
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  const auto parsed = config::ParseConfig(text.str(), path);
+  if (const kernel::Error* error = kernel::ErrorOf(parsed)) return Fail(*error);
+  const auto& snapshot = std::get<config::ConfigSnapshot>(parsed);
+  std::cout << path << ": good, " << snapshot.profiles.size() << " profiles, "
+            << snapshot.groups.size() << " groups, digest " << snapshot.digest
+            << "\n";
+  return kExitOk;
+}
+
+int ShowAdminPage(const std::string& address, const std::string& target) {
+  http::HttpRequest request;
+  request.target = target;
+  const auto answer = http::Fetch(address, request, kAdminTimeout);
+  if (const kernel::Error* error = kernel::ErrorOf(answer)) return Fail(*error);
+  std::cout << std::get<0>(answer).body;
+  return kExitOk;
+}
+
+int ListSettings(const std::string& role_name) {
+  const kernel::Role role =
+      role_name == "agent" ? kernel::Role::kAgent : kernel::Role::kEntry;
+  for (const auto& field : kernel::ModuleRegistry::Instance().SchemaOf(role)) {
+    const std::string fallback =
+        field.required ? "required" : "default '" + field.fallback + "'";
+    std::cout << "[" << field.section << "] " << field.key << " (" << fallback
+              << "): " << field.meaning << "\n";
+  }
+  return kExitOk;
+}
+
+int ListEvents() {
+  for (const kernel::EventRow& row : kernel::EventCatalogue()) {
+    std::printf("BL%04d %s: %s\n", static_cast<int>(row.id),
+                std::string(row.name).c_str(),
+                std::string(row.meaning).c_str());
+  }
+  return kExitOk;
+}
+
+std::string EncodeQuery(std::string_view text) {
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (const unsigned char c : text) {
+    if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.') {
+      encoded += static_cast<char>(c);
+      continue;
+    }
+    encoded += '%';
+    encoded += kDigits[c / 16];
+    encoded += kDigits[c % 16];
+  }
+  return encoded;
+}
+
+int RunCommand(const std::vector<std::string>& words) {
+  const std::string command = words.empty() ? "" : words[0];
+  if (command == "entry") return RunRole(kernel::Role::kEntry);
+  if (command == "agent") return RunRole(kernel::Role::kAgent);
+  if (command == "events") return ListEvents();
+  if (words.size() == 2) {
+    if (command == "check") return CheckConfig(words[1]);
+    if (command == "settings") return ListSettings(words[1]);
+    if (command == "status") return ShowAdminPage(words[1], "/status");
+    if (command == "audit") return ShowAdminPage(words[1], "/audit");
+    if (command == "explain") {
+      return ShowAdminPage(
+          words[1],
+          "/explain?profile=" + EncodeQuery(absl::GetFlag(FLAGS_profile)) +
+              "&prefix=" + EncodeQuery(absl::GetFlag(FLAGS_prefix)));
+    }
+  }
+  std::cerr << "banyanlane: " << kUsage;
+  return kExitUsage;
+}
+
+}  // namespace
+}  // namespace banyanlane::app
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  absl::SetProgramUsageMessage(banyanlane::app::kUsage);
+  const std::vector<char*> parsed = absl::ParseCommandLine(argc, argv);
+  const std::vector<std::string> words(parsed.begin() + 1, parsed.end());
+  try {
+    return banyanlane::app::RunCommand(words);
+  } catch (const std::exception& failure) {
+    std::cerr << "banyanlane: " << failure.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/app/role_process.cc
@@ -0,0 +1,75 @@
+#include "app/role_process.h"
+
+#include <csignal>
+#include <ctime>
+
+#include "kernel/event_log.h"
+
+namespace banyanlane::app {
+namespace {
+
+using kernel::EventId;
+
+constexpr std::int64_t kDrainCheckNanos = 50'000'000;
+constexpr int kReportEvery = 40;
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+}  // namespace
+
+kernel::Result<std::unique_ptr<RoleProcess>> RoleProcess::Assemble(
+    kernel::Role role, const std::string& settings_path) {
+  const kernel::ModuleRegistry& registry = kernel::ModuleRegistry::Instance();
+  auto settings =
+      kernel::Settings::Load(settings_path, registry.SchemaOf(role));
+  if (const kernel::Error* error = kernel::ErrorOf(settings)) return *error;
+  std::unique_ptr<RoleProcess> process(
+      new RoleProcess(std::get<kernel::Settings>(std::move(settings))));
+  for (const auto& entry : registry.ModulesOf(role))
+    process->modules.push_back(entry.factory());
+  for (const auto& module : process->modules) module->Export(process->context);
+  for (const auto& module : process->modules) module->Resolve(process->context);
+  return process;
+}
+
+int RoleProcess::Run() {
+  const sigset_t signals = StopSignals();
+  // Blocked before any thread starts, so that only the wait below receives
+  // them.
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  kernel::LogEvent(EventId::kProcessStarted,
+                   {{"node", this->context.settings().Text("node", "id")}});
+  for (const auto& module : this->modules) module->Start();
+  int received = 0;
+  sigwait(&signals, &received);
+  kernel::LogEvent(EventId::kStopRequested,
+                   {{"signal", std::to_string(received)}});
+  for (const auto& module : this->modules) module->Drain();
+  this->WaitForDrain();
+  for (auto it = this->modules.rbegin(); it != this->modules.rend(); ++it)
+    (*it)->Stop();
+  kernel::LogEvent(EventId::kProcessStopped, {});
+  return 0;
+}
+
+void RoleProcess::WaitForDrain() {
+  for (int round = 0;; ++round) {
+    std::string pending;
+    for (const auto& module : this->modules) {
+      if (pending.empty()) pending = module->Pending();
+    }
+    if (pending.empty()) return;
+    if (round % kReportEvery == 0)
+      kernel::LogEvent(EventId::kStopWaiting, {{"for", pending}});
+    const timespec pause{0, kDrainCheckNanos};
+    nanosleep(&pause, nullptr);
+  }
+}
+
+}  // namespace banyanlane::app
--- /dev/null
+++ b/src/config/internal/config_relay.cc
@@ -0,0 +1,114 @@
+#include "config/internal/config_relay.h"
+
+namespace banyanlane::config {
+namespace {
+
+/// After this a pull counts as lost and another peer is asked.
+constexpr kernel::Millis kPullTimeout{700};
+
+}  // namespace
+
+ConfigRelay::ConfigRelay(std::shared_ptr<IConfigStore> store,
+                         std::shared_ptr<membership::IMembership> membership)
+    : store(std::move(store)), membership(std::move(membership)) {}
+
+void ConfigRelay::OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->links[link->id()] = link;
+  }
+  this->OnPeerRevision(link, link->peer().revision, now);
+  this->OnPeerList(link, link->peer().list_version, now);
+}
+
+void ConfigRelay::OnLinkDown(const link::LinkPtr& link,
+                             kernel::TimePoint /*now*/) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->links.erase(link->id());
+}
+
+void ConfigRelay::OnMessage(const link::LinkPtr& link, link::Message message,
+                            kernel::TimePoint now) {
+  if (const auto* heartbeat = std::get_if<link::Heartbeat>(&message)) {
+    this->OnPeerRevision(link, heartbeat->revision, now);
+    this->OnPeerList(link, heartbeat->list_version, now);
+  }
+  if (const auto* announce = std::get_if<link::ConfigAnnounce>(&message)) {
+    this->OnPeerRevision(link, announce->revision, now);
+  }
+  if (const auto* announce = std::get_if<link::ListAnnounce>(&message)) {
+    this->OnPeerList(link, announce->version, now);
+  }
+  if (std::holds_alternative<link::ConfigPull>(message)) this->SendConfig(link);
+  if (std::holds_alternative<link::ListPull>(message)) this->SendList(link);
+  if (auto* value = std::get_if<link::ConfigValue>(&message)) {
+    const ConfigOffer offer{value->revision, value->digest,
+                            std::move(value->value.bytes)};
+    this->store->Offer(offer, link->peer().node, now);
+  }
+  if (const auto* value = std::get_if<link::ListValue>(&message)) {
+    this->membership->Offer(value->text.bytes, link->peer().node, now);
+  }
+}
+
+void ConfigRelay::OnPeerRevision(const link::LinkPtr& link,
+                                 std::uint64_t revision,
+                                 kernel::TimePoint now) {
+  const ConfigPtr current = this->store->Current();
+  const std::uint64_t have = current ? current->revision : 0;
+  if (revision > have && this->BeginPull(this->config_pull, revision, now)) {
+    link->Send(link::ConfigPull{have});
+  }
+}
+
+void ConfigRelay::OnPeerList(const link::LinkPtr& link, std::uint64_t version,
+                             kernel::TimePoint now) {
+  const auto current = this->membership->Current();
+  const std::uint64_t have = current ? current->version : 0;
+  if (version > have && this->BeginPull(this->list_pull, version, now)) {
+    link->Send(link::ListPull{have});
+  }
+}
+
+bool ConfigRelay::BeginPull(Pull& pull, std::uint64_t wanted,
+                            kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const bool on_its_way =
+      pull.wanted >= wanted && now - pull.asked_at < kPullTimeout;
+  if (on_its_way) return false;
+  pull.wanted = wanted;
+  pull.asked_at = now;
+  return true;
+}
+
+void ConfigRelay::SendConfig(const link::LinkPtr& link) const {
+  const ConfigPtr current = this->store->Current();
+  if (!current) return;
+  link->Send(link::ConfigValue{current->revision, current->digest,
+                               link::Blob{current->value}});
+}
+
+void ConfigRelay::SendList(const link::LinkPtr& link) const {
+  const auto current = this->membership->Current();
+  if (current) link->Send(link::ListValue{link::Blob{current->text}});
+}
+
+void ConfigRelay::AnnounceConfig(const ConfigPtr& config) {
+  for (const link::LinkPtr& link : this->Links()) {
+    link->Send(link::ConfigAnnounce{config->revision});
+  }
+}
+
+void ConfigRelay::AnnounceList(const membership::InstanceListPtr& list) {
+  for (const link::LinkPtr& link : this->Links())
+    link->Send(link::ListAnnounce{list->version});
+}
+
+std::vector<link::LinkPtr> ConfigRelay::Links() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<link::LinkPtr> all;
+  for (const auto& [id, link] : this->links) all.push_back(link);
+  return all;
+}
+
+}  // namespace banyanlane::config
--- /dev/null
+++ b/src/config/internal/config_store.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <functional>
+#include <mutex>
+#include <vector>
+
+#include "config/i_config.h"
+#include "kernel/audit_trail.h"
+
+namespace banyanlane::config {
+
+/// Adopts only checked revisions higher than any it has seen.
+class ConfigStore : public IConfigStore {
+ public:
+  explicit ConfigStore(std::shared_ptr<kernel::AuditTrail> audit);
+
+  ConfigPtr Current() const override;
+  OfferOutcome Offer(const ConfigOffer& offer, std::string_view source,
+                     kernel::TimePoint now) override;
+  void Subscribe(std::function<void(const ConfigPtr&)> observer) override;
+
+ private:
+  OfferOutcome Refuse(const ConfigOffer& offer, std::string_view source,
+                      const std::string& reason);
+  OfferOutcome CompareWithCurrent(const ConfigOffer& offer,
+                                  std::string_view source);
+
+  std::shared_ptr<kernel::AuditTrail> audit;
+  mutable std::mutex mutex;
+  std::mutex adoption_mutex;  ///< Held through a whole adoption, so observers
+                              ///< see them in order.
+  ConfigPtr current;
+  std::uint64_t last_refused = 0;
+  std::string last_refused_digest;
+  std::vector<std::function<void(const ConfigPtr&)>> observers;
+};
+
+}  // namespace banyanlane::config
--- /dev/null
+++ b/src/entry/entry_module.cc
@@ -0,0 +1,171 @@
+#include <algorithm>
+#include <memory>
+#include <stdexcept>
+
+#include "admin/i_status_board.h"
+#include "entry/internal/entry_service.h"
+#include "http/i_http_runtime.h"
+#include "kernel/event_log.h"
+#include "kernel/hash.h"
+#include "kernel/module_registry.h"
+
+namespace banyanlane::entry {
+namespace {
+
+using kernel::Role;
+using kernel::SettingKind;
+
+constexpr double kAffinityBound = 1.25;
+
+/// The entry role: takes callers' requests and routes them to agents.
+class EntryModule : public kernel::IModule {
+ public:
+  void Export(kernel::ModuleContext& /*context*/) override {}
+
+  void Resolve(kernel::ModuleContext& context) override {
+    const kernel::Settings& settings = context.settings();
+    this->node = settings.Text("node", "id");
+    this->failure_domain = settings.Text("node", "failure_domain");
+    this->listen = settings.Text("entry", "listen");
+    this->most_links = static_cast<std::size_t>(
+        settings.Integer("entry", "links_per_service"));
+    this->store = context.Resolve<config::IConfigStore>();
+    this->membership = context.Resolve<membership::IMembership>();
+    this->hub = context.Resolve<link::ILinkHub>();
+    this->runtime = context.Resolve<http::IHttpRuntime>();
+    this->metrics = context.Resolve<kernel::Metrics>();
+    AddressBook addresses(
+        this->node, settings.Text("entry", "address"),
+        static_cast<std::size_t>(settings.Integer("entry", "address_subset")),
+        kernel::Millis(settings.Integer("entry", "address_keep_ms")));
+    this->service = std::make_shared<EntryService>(
+        std::move(addresses), MakeAffinityRoute(kAffinityBound), this->store,
+        this->membership, this->metrics, kernel::Clock::now());
+    this->hub->SetLocal([this] { return this->LocalHello(); },
+                        [this] { return this->LocalHeartbeat(); });
+    this->hub->Subscribe(this->service);
+    this->membership->Subscribe(
+        [this](const membership::InstanceListPtr& list) {
+          this->service->OnInstances(list);
+          this->hub->SetTargets(this->ChooseTargets(*list));
+        });
+    this->AddStatus(*context.Resolve<admin::IStatusBoard>());
+  }
+
+  void Start() override {
+    auto opened = this->runtime->Listen(this->listen, this->service,
+                                        http::ServerLimits{});
+    if (const kernel::Error* error = kernel::ErrorOf(opened)) {
+      throw std::runtime_error(kernel::Describe(*error));
+    }
+    this->server =
+        std::get<std::shared_ptr<http::IHttpServer>>(std::move(opened));
+    kernel::LogEvent(kernel::EventId::kProcessReady,
+                     {{"listen", this->listen}});
+  }
+
+  void Drain() override { this->service->Drain(kernel::Clock::now()); }
+  std::string Pending() override {
+    return this->service->Pending(kernel::Clock::now());
+  }
+  void Stop() override { this->server->StopAccepting(); }
+
+ private:
+  link::Hello LocalHello() {
+    link::Hello hello;
+    hello.role = "entry";
+    hello.node = this->node;
+    hello.incarnation = this->incarnation;
+    hello.failure_domain = this->failure_domain;
+    hello.revision = this->Revision();
+    hello.list_version = this->ListVersion();
+    return hello;
+  }
+
+  link::Heartbeat LocalHeartbeat() {
+    link::Heartbeat heartbeat;
+    heartbeat.revision = this->Revision();
+    heartbeat.list_version = this->ListVersion();
+    return heartbeat;
+  }
+
+  std::uint64_t Revision() const {
+    const config::ConfigPtr config = this->store->Current();
+    return config ? config->revision : 0;
+  }
+
+  std::uint64_t ListVersion() const {
+    const auto list = this->membership->Current();
+    return list ? list->version : 0;
+  }
+
+  /// Picks, for each service, the agents that this entry keeps links to.
+  std::vector<std::string> ChooseTargets(
+      const membership::InstanceList& list) const {
+    std::map<std::string, std::vector<membership::Instance>> by_service;
+    for (membership::Instance& endpoint :
+         list.OfRole(membership::InstanceRole::kEndpoint)) {
+      by_service[endpoint.service].push_back(std::move(endpoint));
+    }
+    std::vector<std::string> targets;
+    for (auto& [service_name, endpoints] : by_service) {
+      std::sort(endpoints.begin(), endpoints.end(),
+                [this](const auto& left, const auto& right) {
+                  return kernel::RendezvousWeight(this->node, left.id) >
+                         kernel::RendezvousWeight(this->node, right.id);
+                });
+      if (endpoints.size() > this->most_links)
+        endpoints.resize(this->most_links);
+      for (const membership::Instance& endpoint : endpoints)
+        targets.push_back(endpoint.address);
+    }
+    return targets;
+  }
+
+  void AddStatus(admin::IStatusBoard& board) {
+    board.AddSection("entry", [this] {
+      return std::vector<std::string>{
+          "node=" + this->node, "revision=" + std::to_string(this->Revision()),
+          "list_version=" + std::to_string(this->ListVersion()),
+          "in_flight=" + std::to_string(this->service->InFlight())};
+    });
+    board.AddSection("endpoints", [this] {
+      return this->service->endpoints().Describe(kernel::Clock::now());
+    });
+    board.SetExplain([this](const http::HttpRequest& request) {
+      return this->service->Explain(request, kernel::Clock::now());
+    });
+  }
+
+  std::string node;
+  std::string failure_domain;
+  std::string listen;
+  std::size_t most_links = 0;
+  std::uint64_t incarnation = kernel::Hash64(kernel::RandomId());
+  std::shared_ptr<config::IConfigStore> store;
+  std::shared_ptr<membership::IMembership> membership;
+  std::shared_ptr<link::ILinkHub> hub;
+  std::shared_ptr<http::IHttpRuntime> runtime;
+  std::shared_ptr<kernel::Metrics> metrics;
+  std::shared_ptr<EntryService> service;
+  std::shared_ptr<http::IHttpServer> server;
+};
+
+const kernel::ModuleRegistration kRegistration(
+    {"entry",
+     {Role::kEntry},
+     kernel::StartOrder::kService,
+     {{"entry", "listen", SettingKind::kText, "", true, 0, 0,
+       "Where callers connect."},
+      {"entry", "address", SettingKind::kText, "", true, 0, 0,
+       "Address told to callers: the one the platform lists."},
+      {"entry", "address_subset", SettingKind::kInteger, "3", false, 1, 64,
+       "Most addresses in one answer."},
+      {"entry", "address_keep_ms", SettingKind::kInteger, "30000", false, 100,
+       3'600'000, "How long callers may keep an answer."},
+      {"entry", "links_per_service", SettingKind::kInteger, "48", false, 1,
+       4'096, "Most agents of one service that this entry links to."}},
+     [] { return std::make_unique<EntryModule>(); }});
+
+}  // namespace
+}  // namespace banyanlane::entry
--- /dev/null
+++ b/src/entry/internal/entry_service.cc
@@ -0,0 +1,453 @@
+#include "entry/internal/entry_service.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "agent/idempotency_key.h"
+#include "kernel/event_log.h"
+#include "kernel/hash.h"
+#include "kernel/text.h"
+
+namespace banyanlane::entry {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kAddressesPath = "/v1/addresses";
+constexpr std::string_view kKeysPath = "/v1/keys";
+constexpr std::string_view kRequestsPath = "/v1/requests/";
+constexpr kernel::Millis kEvidenceLifetime{600'000};
+/// An entry that can reach no peer serves after this, with what the platform
+/// told it.
+constexpr kernel::Millis kPeerWait{2'000};
+constexpr std::uint64_t kRetryWhenNotReadyMillis = 500;
+
+http::HttpResponse JsonResponse(int status, const json& body) {
+  return {status, {{"content-type", "application/json"}}, body.dump() + "\n"};
+}
+
+std::int64_t LongestDeadline(const config::ConfigPtr& config) {
+  std::int64_t longest = 0;
+  if (!config) return longest;
+  for (const auto& [name, profile] : config->profiles) {
+    longest = std::max(longest, profile.deadline_ms);
+  }
+  return longest;
+}
+
+}  // namespace
+
+EntryService::EntryService(AddressBook addresses,
+                           std::unique_ptr<IRoutePolicy> route_policy,
+                           std::shared_ptr<config::IConfigStore> store,
+                           std::shared_ptr<membership::IMembership> membership,
+                           std::shared_ptr<kernel::Metrics> metrics,
+                           kernel::TimePoint now)
+    : addresses(std::move(addresses)),
+      endpoint_table(std::move(route_policy)),
+      store(std::move(store)),
+      membership(std::move(membership)),
+      metrics(std::move(metrics)),
+      crash_evidence(kEvidenceLifetime),
+      started(now) {}
+
+void EntryService::Handle(http::IHttpExchange& exchange) {
+  const std::string path = exchange.request().Path();
+  if (path == kAddressesPath) {
+    this->HandleAddresses(exchange);
+    return;
+  }
+  if (path == kKeysPath) {
+    this->HandleIssueKey(exchange);
+    return;
+  }
+  if (kernel::StartsWith(path, kRequestsPath)) {
+    this->HandleResume(exchange);
+    return;
+  }
+  this->HandleWork(exchange);
+}
+
+void EntryService::HandleAddresses(http::IHttpExchange& exchange) {
+  bool leaving = false;
+  {
+    const std::lock_guard<std::mutex> lock(this->drain_mutex);
+    leaving = this->draining_since.has_value();
+  }
+  const AddressAnswer answer = this->addresses.Answer(
+      this->membership->Current(), OrganisationOf(exchange.request()), leaving);
+  json body;
+  body["addresses"] = answer.addresses;
+  body["keep_ms"] = answer.keep.count();
+  exchange.Reply(JsonResponse(200, body));
+}
+
+void EntryService::HandleIssueKey(http::IHttpExchange& exchange) {
+  const auto now = kernel::Clock::now();
+  const config::ConfigPtr config = this->store->Current();
+  const std::string name = exchange.request().Query("profile");
+  const config::Profile* profile = config ? config->FindProfile(name) : nullptr;
+  if (profile == nullptr) {
+    this->ReplyProblem(exchange,
+                       BadRequest(404, "unknown_profile",
+                                  "profile '" + name + "' is not published"));
+    return;
+  }
+  const std::string key = this->IssueKey(*profile, now);
+  if (key.empty()) {
+    Problem problem =
+        BadRequest(503, "no_endpoint", "no endpoint of " + profile->service);
+    problem.retry_after_ms = kRetryWhenNotReadyMillis;
+    this->ReplyProblem(exchange, problem);
+    return;
+  }
+  json body;
+  body["key"] = key;
+  body["profile"] = profile->name;
+  body["lifetime_s"] = profile->key_lifetime_s;
+  exchange.Reply(JsonResponse(200, body));
+}
+
+std::string EntryService::IssueKey(const config::Profile& profile,
+                                   kernel::TimePoint now) {
+  RouteRequest route;
+  route.service = profile.service;
+  route.affinity = kernel::RandomId();
+  const auto home = this->endpoint_table.Choose(route, now);
+  if (!home) return "";
+  const agent::IdempotencyKey key{home->node, home->incarnation, home->clock_ms,
+                                  kernel::RandomId()};
+  return key.Format();
+}
+
+std::optional<Problem> EntryService::NotServing(const std::string& organisation,
+                                                kernel::TimePoint now) {
+  Problem problem;
+  problem.status = 503;
+  problem.step = "admit";
+  problem.retry_after_ms = kRetryWhenNotReadyMillis;
+  const config::ConfigPtr config = this->store->Current();
+  const bool waited = now - this->started >= kPeerWait;
+  if (!config || (!this->heard_peer && !waited)) {
+    problem.reason = "not_ready";
+    problem.detail =
+        "this entry has not learned the configuration in force yet";
+    return problem;
+  }
+  const std::lock_guard<std::mutex> lock(this->drain_mutex);
+  if (!this->draining_since) return std::nullopt;
+  const AddressAnswer others =
+      this->addresses.Answer(this->membership->Current(), organisation, true);
+  const auto kept =
+      std::min(others.keep, kernel::Millis(LongestDeadline(config) / 2));
+  if (now - *this->draining_since < kept) return std::nullopt;
+  problem.reason = "stopping";
+  problem.detail = "use";
+  for (const std::string& address : others.addresses)
+    problem.detail += " " + address;
+  return problem;
+}
+
+std::optional<Problem> EntryService::NeedsKey(const CallerRequest& request,
+                                              kernel::TimePoint now) {
+  const bool issued = agent::IdempotencyKey::Parse(request.key).has_value();
+  if (request.profile->repeatable || issued) return std::nullopt;
+  Problem problem;
+  constexpr int kPreconditionRequired = 428;
+  problem.status = kPreconditionRequired;
+  problem.reason = "key_required";
+  problem.step = "claim_key";
+  problem.detail =
+      "send again with Idempotency-Key: next_key, on every sending of this "
+      "request";
+  problem.next_key = this->IssueKey(*request.profile, now);
+  if (problem.next_key.empty())
+    problem.retry_after_ms = kRetryWhenNotReadyMillis;
+  return problem;
+}
+
+void EntryService::ClipDeadline(CallerRequest& request,
+                                kernel::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->drain_mutex);
+  if (!this->draining_since) return;
+  const std::int64_t gone = kernel::MillisBetween(*this->draining_since, now);
+  const std::int64_t left =
+      std::max<std::int64_t>(1, LongestDeadline(request.config) - gone);
+  request.deadline_ms =
+      std::min(request.deadline_ms, static_cast<std::uint64_t>(left));
+}
+
+void EntryService::HandleWork(http::IHttpExchange& exchange) {
+  const auto now = kernel::Clock::now();
+  this->metrics->Count("banyanlane_requests_total");
+  const std::string organisation = OrganisationOf(exchange.request());
+  if (const auto problem = this->NotServing(organisation, now)) {
+    this->ReplyProblem(exchange, *problem);
+    return;
+  }
+  auto checked = CheckRequest(exchange.request(), this->store->Current());
+  if (const Problem* problem = std::get_if<Problem>(&checked)) {
+    this->ReplyProblem(exchange, *problem);
+    return;
+  }
+  auto& request = std::get<CallerRequest>(checked);
+  if (const auto problem = this->NeedsKey(request, now)) {
+    this->ReplyProblem(exchange, *problem);
+    return;
+  }
+  this->ClipDeadline(request, now);
+  const config::ConfigPtr config = request.config;
+  const config::Profile& profile = *request.profile;
+  const AddressAnswer sharers =
+      this->addresses.Answer(this->membership->Current(), organisation, false);
+  const auto sharing = static_cast<std::int64_t>(sharers.addresses.size());
+  if (!this->organisation_limits.Acquire(profile, organisation, sharing)) {
+    Problem problem;
+    problem.status =
+        StatusFor(link::Reason::kOrganisationLimit, link::Outcome::kNotRun);
+    problem.reason =
+        std::string(link::ReasonName(link::Reason::kOrganisationLimit));
+    problem.step = "admit";
+    problem.retry_after_ms = kRetryWhenNotReadyMillis;
+    const bool keyed = !request.key.empty();
+    problem.outcome = keyed ? link::Outcome::kUnknown : link::Outcome::kNotRun;
+    if (keyed) problem.attempt_outcome = link::Outcome::kNotRun;
+    this->ReplyProblem(exchange, problem);
+    return;
+  }
+  this->RunFlow(exchange, std::move(request), [](RequestFlow& flow) {
+    return flow.Start(kernel::Clock::now());
+  });
+  this->organisation_limits.Release(profile, organisation);
+}
+
+void EntryService::HandleResume(http::IHttpExchange& exchange) {
+  const http::HttpRequest& request = exchange.request();
+  const config::ConfigPtr config = this->store->Current();
+  const auto name =
+      AnswerName::Parse(request.Path().substr(kRequestsPath.size()));
+  const std::string organisation = OrganisationOf(request);
+  const auto offset =
+      kernel::ParseNumber<std::uint64_t>("0" + request.Query("offset"));
+  if (!name || !offset || organisation.empty() || !config) {
+    this->ReplyProblem(
+        exchange, BadRequest(400, "invalid_resume",
+                             "needs an answer's name, an organisation and a "
+                             "numeric offset"));
+    return;
+  }
+  CallerRequest caller;
+  caller.config = config;
+  const config::Profile* profile =
+      config->FindProfile(request.Query("profile"));
+  caller.profile =
+      profile != nullptr ? profile : &config->profiles.begin()->second;
+  caller.organisation = organisation;
+  caller.deadline_ms = static_cast<std::uint64_t>(LongestDeadline(config));
+  this->RunFlow(exchange, std::move(caller), [&](RequestFlow& flow) {
+    return flow.StartFrom(*name, *offset, kernel::Clock::now());
+  });
+}
+
+template <typename Start>
+void EntryService::RunFlow(http::IHttpExchange& exchange, CallerRequest request,
+                           Start start) {
+  const auto begun = kernel::Clock::now();
+  const std::string id = kernel::RandomId();
+  const FlowContext context{this->endpoint_table, this->retry_budget,
+                            this->crash_evidence, FlowLimits{}};
+  auto flow = std::make_unique<RequestFlow>(context, id, std::move(request),
+                                            ++this->seeds);
+  const auto send = [this](std::uint64_t number, const link::Message& message) {
+    if (const auto link = this->links.Find(number)) (*link)->Send(message);
+  };
+  const auto runner =
+      std::make_shared<FlowRunner>(std::move(flow), send, exchange.notifier());
+  this->runners.Set(id, runner);
+  runner->Decide([&start](RequestFlow& decided) { return start(decided); });
+  bool answering = true;
+  while (answering) {
+    answering = this->Deliver(exchange, *runner, runner->TakeForCaller());
+    if (!answering) break;
+    const http::WakeReason woken = exchange.Wait(runner->NextTimer());
+    const auto now = kernel::Clock::now();
+    if (woken == http::WakeReason::kTimeout) {
+      runner->Decide(
+          [now](RequestFlow& decided) { return decided.OnTimer(now); });
+    }
+    if (woken == http::WakeReason::kCallerGone) {
+      runner->Decide(
+          [now](RequestFlow& decided) { return decided.OnCallerGone(now); });
+      exchange.Abort();
+      answering = false;
+    }
+  }
+  this->runners.Erase(id);
+  const auto took =
+      std::chrono::duration<double, std::milli>(kernel::Clock::now() - begun);
+  this->metrics->ObserveMillis("banyanlane_request_millis", took.count());
+}
+
+bool EntryService::Deliver(http::IHttpExchange& exchange, FlowRunner& runner,
+                           FlowActions actions) {
+  for (FlowAction& action : actions) {
+    bool taken = true;
+    if (auto* whole = std::get_if<DeliverWhole>(&action)) {
+      exchange.Reply(whole->response);
+      return false;
+    }
+    if (auto* problem = std::get_if<DeliverProblem>(&action)) {
+      this->ReplyProblem(exchange, problem->problem);
+      return false;
+    }
+    if (std::holds_alternative<DeliverEnd>(action)) {
+      exchange.EndStream();
+      return false;
+    }
+    if (auto* cut = std::get_if<DeliverCut>(&action)) {
+      const http::HttpResponse notice = ToResponse(cut->problem);
+      exchange.WriteChunk("event: error\ndata: " + notice.body + "\n");
+      exchange.Abort();
+      return false;
+    }
+    if (auto* head = std::get_if<DeliverHead>(&action)) {
+      taken = exchange.BeginStream(head->status, head->headers);
+    }
+    if (auto* part = std::get_if<DeliverData>(&action)) {
+      taken = exchange.WriteChunk(part->data);
+      const std::uint64_t end = part->end_offset;
+      if (taken) {
+        runner.Decide([end](RequestFlow& flow) {
+          return flow.OnCallerTook(end, kernel::Clock::now());
+        });
+      }
+    }
+    if (!taken) {
+      runner.Decide([](RequestFlow& flow) {
+        return flow.OnCallerGone(kernel::Clock::now());
+      });
+      exchange.Abort();
+      return false;
+    }
+  }
+  return true;
+}
+
+void EntryService::ReplyProblem(http::IHttpExchange& exchange,
+                                const Problem& problem) {
+  this->metrics->Count("banyanlane_problems_total{reason=\"" + problem.reason +
+                       "\"}");
+  exchange.Reply(ToResponse(problem));
+}
+
+void EntryService::OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) {
+  this->heard_peer = true;
+  this->links.Set(link->id(), link);
+  this->endpoint_table.OnLinkUp(link->id(), link->peer(), now);
+  for (link::Evidence& evidence : this->crash_evidence.All(now))
+    link->Send(evidence);
+  const std::string node = link->peer().node;
+  for (const RunnerPtr& runner : this->Runners()) {
+    runner->Decide([&](RequestFlow& flow) { return flow.OnLinkUp(node, now); });
+  }
+}
+
+void EntryService::OnMessage(const link::LinkPtr& link, link::Message message,
+                             kernel::TimePoint now) {
+  if (const auto* heartbeat = std::get_if<link::Heartbeat>(&message)) {
+    this->endpoint_table.OnHeartbeat(link->id(), link->peer().node, *heartbeat,
+                                     now);
+    return;
+  }
+  if (const auto* announce = std::get_if<link::ConfigAnnounce>(&message)) {
+    this->endpoint_table.OnRevision(link->peer().node, announce->revision);
+    return;
+  }
+  if (const auto* evidence = std::get_if<link::Evidence>(&message)) {
+    if (!this->crash_evidence.Merge(*evidence, now)) return;
+    for (const link::LinkPtr& other : this->links.Values()) {
+      if (other->id() != link->id()) other->Send(*evidence);
+    }
+    return;
+  }
+  const std::string* request = nullptr;
+  if (const auto* started = std::get_if<link::Started>(&message))
+    request = &started->request;
+  if (const auto* head = std::get_if<link::Head>(&message))
+    request = &head->request;
+  if (const auto* chunk = std::get_if<link::Chunk>(&message))
+    request = &chunk->request;
+  if (const auto* ended = std::get_if<link::Ended>(&message))
+    request = &ended->request;
+  if (request == nullptr) return;
+  const auto runner = this->runners.Find(RequestFlow::FlowIdOf(*request));
+  if (!runner) return;
+  (*runner)->Decide([&](RequestFlow& flow) {
+    return flow.OnMessage(link->id(), std::move(message), now);
+  });
+}
+
+void EntryService::OnLinkDown(const link::LinkPtr& link,
+                              kernel::TimePoint now) {
+  this->links.Erase(link->id());
+  this->endpoint_table.OnLinkDown(link->id(), link->peer().node);
+  for (const RunnerPtr& runner : this->Runners()) {
+    runner->Decide(
+        [&](RequestFlow& flow) { return flow.OnLinkDown(link->id(), now); });
+  }
+}
+
+std::vector<EntryService::RunnerPtr> EntryService::Runners() {
+  return this->runners.Values();
+}
+
+void EntryService::OnInstances(const membership::InstanceListPtr& list) {
+  std::set<std::string> leaving;
+  for (const membership::Instance& instance : list->instances) {
+    if (instance.state == membership::InstanceState::kLeaving)
+      leaving.insert(instance.id);
+  }
+  this->endpoint_table.OnListedLeaving(leaving);
+}
+
+std::string EntryService::Explain(const http::HttpRequest& request,
+                                  kernel::TimePoint now) {
+  const std::string name = request.Query("profile");
+  const config::ConfigPtr config = this->store->Current();
+  const config::Profile* profile = config ? config->FindProfile(name) : nullptr;
+  if (profile == nullptr) return "profile '" + name + "' is not published\n";
+  RouteRequest route;
+  route.service = profile->service;
+  route.affinity = profile->service + "\n" + request.Query("prefix");
+  const auto choice = this->endpoint_table.Choose(route, now);
+  std::string text =
+      "revision " + std::to_string(config->revision) + "\nservice " +
+      profile->service + "\nchoice " + (choice ? choice->node : "none") +
+      ": first by prompt prefix among endpoints below the load bound\n";
+  for (const std::string& line : this->endpoint_table.Describe(now))
+    text += line + "\n";
+  return text;
+}
+
+void EntryService::Drain(kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->drain_mutex);
+  if (!this->draining_since) this->draining_since = now;
+}
+
+std::string EntryService::Pending(kernel::TimePoint now) {
+  const config::ConfigPtr config = this->store->Current();
+  const kernel::Millis longest(LongestDeadline(config));
+  const auto kept = std::min(
+      this->addresses.Answer(this->membership->Current(), "", true).keep,
+      longest / 2);
+  const std::size_t in_flight = this->runners.Size();
+  const std::lock_guard<std::mutex> lock(this->drain_mutex);
+  if (!this->draining_since) return "";
+  const auto gone = now - *this->draining_since;
+  if (gone >= longest) return "";
+  if (in_flight > 0) return std::to_string(in_flight) + " requests in flight";
+  if (gone < kept) return "callers that keep this address";
+  return "";
+}
+
+}  // namespace banyanlane::entry
--- /dev/null
+++ b/src/entry/internal/route_policy.cc
@@ -0,0 +1,105 @@
+#include "entry/internal/route_policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <mutex>
+#include <numeric>
+#include <random>
+
+#include "kernel/hash.h"
+
+namespace banyanlane::entry {
+namespace {
+
+class RandomRoute : public IRoutePolicy {
+ public:
+  explicit RandomRoute(std::uint64_t seed) : random(seed) {}
+
+  std::size_t Choose(const std::vector<EndpointView>& candidates,
+                     const RouteRequest& /*request*/) override {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return std::uniform_int_distribution<std::size_t>(
+        0, candidates.size() - 1)(this->random);
+  }
+
+ private:
+  std::mutex mutex;
+  std::mt19937_64 random;
+};
+
+class LeastLoadedRoute : public IRoutePolicy {
+ public:
+  explicit LeastLoadedRoute(std::uint64_t seed) : random(seed) {}
+
+  std::size_t Choose(const std::vector<EndpointView>& candidates,
+                     const RouteRequest& /*request*/) override {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    std::vector<std::size_t> best;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      if (!best.empty() && candidates[i].load > candidates[best.front()].load)
+        continue;
+      if (!best.empty() && candidates[i].load < candidates[best.front()].load)
+        best.clear();
+      best.push_back(i);
+    }
+    return best[std::uniform_int_distribution<std::size_t>(
+        0, best.size() - 1)(this->random)];
+  }
+
+ private:
+  std::mutex mutex;
+  std::mt19937_64 random;
+};
+
+class AffinityRoute : public IRoutePolicy {
+ public:
+  explicit AffinityRoute(double bound) : bound(bound) {}
+
+  std::size_t Choose(const std::vector<EndpointView>& candidates,
+                     const RouteRequest& request) override {
+    std::vector<std::size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::vector<std::uint64_t> weights;
+    weights.reserve(candidates.size());
+    for (const EndpointView& candidate : candidates) {
+      weights.push_back(
+          kernel::RendezvousWeight(request.affinity, candidate.node));
+    }
+    std::sort(order.begin(), order.end(),
+              [&weights](std::size_t left, std::size_t right) {
+                return weights[left] > weights[right];
+              });
+    const std::int64_t ceiling = this->Ceiling(candidates);
+    for (const std::size_t index : order) {
+      if (candidates[index].load < ceiling) return index;
+    }
+    return order.front();
+  }
+
+ private:
+  std::int64_t Ceiling(const std::vector<EndpointView>& candidates) const {
+    std::int64_t total = 1;
+    for (const EndpointView& candidate : candidates) total += candidate.load;
+    const double mean =
+        static_cast<double>(total) / static_cast<double>(candidates.size());
+    return static_cast<std::int64_t>(std::ceil(this->bound * mean));
+  }
+
+  double bound;
+};
+
+}  // namespace
+
+std::unique_ptr<IRoutePolicy> MakeRandomRoute(std::uint64_t seed) {
+  return std::make_unique<RandomRoute>(seed);
+}
+
+std::unique_ptr<IRoutePolicy> MakeLeastLoadedRoute(std::uint64_t seed) {
+  return std::make_unique<LeastLoadedRoute>(seed);
+}
+
+std::unique_ptr<IRoutePolicy> MakeAffinityRoute(double bound) {
+  return std::make_unique<AffinityRoute>(bound);
+}
+
+}  // namespace banyanlane::entry
--- /dev/null
+++ b/src/http/internal/http_call.cc
@@ -0,0 +1,173 @@
+#include "http/internal/http_call.h"
+
+#include <array>
+#include <limits>
+
+namespace banyanlane::http {
+namespace {
+
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+constexpr unsigned kHttpVersion = 11;
+
+kernel::ErrorCode CodeOf(const beast::error_code& failure) {
+  if (failure == beast::error::timeout) return kernel::ErrorCode::kTimeout;
+  if (failure == asio::error::connection_refused)
+    return kernel::ErrorCode::kUnreachable;
+  if (failure == asio::error::operation_aborted)
+    return kernel::ErrorCode::kCancelled;
+  return kernel::ErrorCode::kCut;
+}
+
+}  // namespace
+
+HttpCall::HttpCall(asio::io_context& io, std::string address,
+                   HttpRequest request, const CallLimits& limits,
+                   std::shared_ptr<IHttpCallObserver> observer)
+    : strand(asio::make_strand(io.get_executor())),
+      stream(this->strand),
+      pause_timer(this->strand),
+      address(std::move(address)),
+      request(std::move(request)),
+      limits(limits),
+      observer(std::move(observer)) {}
+
+void HttpCall::Start() {
+  // Posted, since spawn may run its first part inside the caller, which can
+  // hold a lock.
+  asio::post(this->strand, [self = this->shared_from_this()] {
+    asio::spawn(self->strand,
+                [self](asio::yield_context yield) { self->Run(yield); });
+  });
+}
+
+void HttpCall::Abort() {
+  asio::post(this->strand, [self = this->shared_from_this()] {
+    self->aborted = true;
+    self->stream.close();
+    self->pause_timer.cancel();
+  });
+}
+
+void HttpCall::Pause() {
+  asio::post(this->strand,
+             [self = this->shared_from_this()] { self->paused = true; });
+}
+
+void HttpCall::Resume() {
+  asio::post(this->strand, [self = this->shared_from_this()] {
+    self->paused = false;
+    self->pause_timer.cancel();
+  });
+}
+
+void HttpCall::Run(asio::yield_context yield) {
+  if (!this->Connect(yield)) return;
+  if (!this->SendRequest(yield)) return;
+  Parser parser;
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  if (!this->ReadHead(parser, yield)) return;
+  this->ReadBody(parser, yield);
+}
+
+bool HttpCall::Connect(asio::yield_context yield) {
+  const auto resolved = ResolveAddress(this->address);
+  if (const kernel::Error* error = kernel::ErrorOf(resolved)) {
+    this->observer->OnFailed(*error, SendState::kNotSent);
+    return false;
+  }
+  beast::error_code failure;
+  if (this->aborted) {
+    failure = asio::error::operation_aborted;
+  } else {
+    this->stream.expires_after(this->limits.connect_timeout);
+    this->stream.async_connect(std::get<0>(resolved), yield[failure]);
+  }
+  if (!failure && this->aborted) failure = asio::error::operation_aborted;
+  if (failure) {
+    this->Fail("connect", failure, SendState::kNotSent);
+    return false;
+  }
+  SetTransportTimeouts(this->stream.socket().native_handle());
+  return true;
+}
+
+bool HttpCall::SendRequest(asio::yield_context yield) {
+  beast::http::request<beast::http::string_body> message;
+  message.version(kHttpVersion);
+  message.method_string(this->request.method);
+  message.target(this->request.target);
+  message.set(beast::http::field::host, this->address);
+  for (const auto& [name, value] : this->request.headers) {
+    if (!IsHopField(name) && name != "host") message.insert(name, value);
+  }
+  message.keep_alive(false);
+  message.body() = std::move(this->request.body);
+  message.prepare_payload();
+  beast::error_code failure;
+  this->stream.expires_after(this->limits.head_timeout);
+  beast::http::async_write(this->stream, message, yield[failure]);
+  if (!failure) return true;
+  this->Fail("send", failure, SendState::kMaybeSent);
+  return false;
+}
+
+bool HttpCall::ReadHead(Parser& parser, asio::yield_context yield) {
+  beast::error_code failure;
+  beast::http::async_read_header(this->stream, this->buffer, parser,
+                                 yield[failure]);
+  if (failure) {
+    this->Fail("read_head", failure, SendState::kMaybeSent);
+    return false;
+  }
+  this->observer->OnHead(static_cast<int>(parser.get().result_int()),
+                         CopyFields(parser.get()));
+  return true;
+}
+
+void HttpCall::ReadBody(Parser& parser, asio::yield_context yield) {
+  std::array<char, kReadBytes>
+      part;  // NOLINT: filled by the parser before it is read.
+  while (!parser.is_done()) {
+    this->WaitWhilePaused(yield);
+    parser.get().body().data = part.data();
+    parser.get().body().size = part.size();
+    beast::error_code failure;
+    this->stream.expires_after(this->limits.silence_timeout);
+    beast::http::async_read_some(this->stream, this->buffer, parser,
+                                 yield[failure]);
+    if (failure == beast::http::error::need_buffer) failure = {};
+    const std::size_t count = part.size() - parser.get().body().size;
+    if (count > 0) this->observer->OnData(std::string_view(part.data(), count));
+    if (failure) {
+      this->Fail("read_body", failure, SendState::kMaybeSent);
+      return;
+    }
+  }
+  const bool length_known =
+      parser.chunked() || parser.content_length().has_value();
+  if (!length_known) {
+    // An answer that ends with its connection can't be told from a cut one.
+    this->Fail("read_body", beast::http::error::partial_message,
+               SendState::kMaybeSent);
+    return;
+  }
+  this->observer->OnEnd();
+}
+
+void HttpCall::WaitWhilePaused(asio::yield_context yield) {
+  while (this->paused && !this->aborted) {
+    this->pause_timer.expires_at(kernel::TimePoint::max());
+    beast::error_code ignored;
+    this->pause_timer.async_wait(yield[ignored]);
+  }
+}
+
+void HttpCall::Fail(std::string_view step, const beast::error_code& failure,
+                    SendState state) {
+  this->stream.close();
+  this->observer->OnFailed(kernel::Error{CodeOf(failure), std::string(step),
+                                         this->address, failure.message()},
+                           state);
+}
+
+}  // namespace banyanlane::http
--- /dev/null
+++ b/src/http/internal/http_call.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "http/i_http_runtime.h"
+#include "http/internal/asio_http.h"
+
+namespace banyanlane::http {
+
+/// One call on a connection of its own, run as a coroutine.
+class HttpCall : public IHttpCall,
+                 public std::enable_shared_from_this<HttpCall> {
+ public:
+  HttpCall(asio::io_context& io, std::string address, HttpRequest request,
+           const CallLimits& limits,
+           std::shared_ptr<IHttpCallObserver> observer);
+
+  void Start();
+  void Abort() override;
+  void Pause() override;
+  void Resume() override;
+
+ private:
+  using Parser = beast::http::response_parser<beast::http::buffer_body>;
+
+  void Run(asio::yield_context yield);
+  bool Connect(asio::yield_context yield);
+  bool SendRequest(asio::yield_context yield);
+  bool ReadHead(Parser& parser, asio::yield_context yield);
+  void ReadBody(Parser& parser, asio::yield_context yield);
+  void WaitWhilePaused(asio::yield_context yield);
+  void Fail(std::string_view step, const beast::error_code& failure,
+            SendState state);
+
+  Strand strand;
+  StrandStream stream;
+  asio::steady_timer pause_timer;
+  beast::flat_buffer buffer;
+  std::string address;
+  HttpRequest request;
+  CallLimits limits;
+  std::shared_ptr<IHttpCallObserver> observer;
+  bool paused = false;
+  bool aborted = false;
+};
+
+}  // namespace banyanlane::http
--- /dev/null
+++ b/src/http/internal/http_exchange.cc
@@ -0,0 +1,140 @@
+#include "http/internal/http_exchange.h"
+
+#include <sys/socket.h>
+
+namespace banyanlane::http {
+namespace {
+
+constexpr unsigned kHttpVersion = 11;
+
+beast::string_view ToBeast(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+void ExchangeSignal::Notify() {
+  if (this->notified.exchange(true)) return;
+  asio::post(this->strand,
+             [self = this->shared_from_this()] { self->timer.cancel(); });
+}
+
+void ExchangeSignal::MarkGone() {
+  this->gone = true;
+  this->timer.cancel();
+}
+
+WakeReason ExchangeSignal::Wait(kernel::TimePoint until,
+                                asio::yield_context yield) {
+  while (true) {
+    if (this->gone) return WakeReason::kCallerGone;
+    if (this->notified.exchange(false)) return WakeReason::kNotified;
+    if (kernel::Clock::now() >= until) return WakeReason::kTimeout;
+    this->timer.expires_at(until);
+    beast::error_code ignored;
+    this->timer.async_wait(yield[ignored]);
+  }
+}
+
+HttpExchange::HttpExchange(StrandStream& stream, const Strand& strand,
+                           asio::yield_context yield, HttpRequest request,
+                           const ServerLimits& limits, bool keep_alive)
+    : stream(stream),
+      yield(yield),
+      received(std::move(request)),
+      limits(limits),
+      signal(std::make_shared<ExchangeSignal>(strand)),
+      keep_alive(keep_alive) {}
+
+HttpExchange::~HttpExchange() {
+  beast::error_code ignored;
+  if (this->watching) this->stream.socket().cancel(ignored);
+}
+
+WakeReason HttpExchange::Wait(kernel::TimePoint until) {
+  if (!this->watching) this->WatchCaller();
+  return this->signal->Wait(until, this->yield);
+}
+
+void HttpExchange::WatchCaller() {
+  this->watching = true;
+  tcp::socket::native_handle_type socket =
+      this->stream.socket().native_handle();
+  this->stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [signal = this->signal, socket](const beast::error_code& failure) {
+        if (failure) return;
+        char byte = 0;
+        const ssize_t count = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool pipelined = count > 0;
+        if (!pipelined) signal->MarkGone();
+      });
+}
+
+void HttpExchange::SetFields(beast::http::fields& fields,
+                             const Headers& headers) const {
+  for (const auto& [name, value] : headers) {
+    if (!IsHopField(name)) fields.insert(ToBeast(name), ToBeast(value));
+  }
+}
+
+void HttpExchange::Reply(const HttpResponse& response) {
+  beast::http::response<beast::http::string_body> message;
+  message.version(kHttpVersion);
+  message.result(static_cast<unsigned>(response.status));
+  this->SetFields(message, response.headers);
+  message.keep_alive(this->keep_alive);
+  message.body() = response.body;
+  message.prepare_payload();
+  beast::error_code failure;
+  this->stream.expires_after(kernel::Millis(this->limits.write_timeout_ms));
+  beast::http::async_write(this->stream, message, this->yield[failure]);
+  this->ended = true;
+  this->failed = static_cast<bool>(failure);
+}
+
+bool HttpExchange::BeginStream(int status, const Headers& headers) {
+  beast::http::response<beast::http::empty_body> message;
+  message.version(kHttpVersion);
+  message.result(static_cast<unsigned>(status));
+  this->SetFields(message, headers);
+  message.keep_alive(this->keep_alive);
+  message.chunked(true);
+  beast::http::response_serializer<beast::http::empty_body> serializer(message);
+  beast::error_code failure;
+  this->stream.expires_after(kernel::Millis(this->limits.write_timeout_ms));
+  beast::http::async_write_header(this->stream, serializer,
+                                  this->yield[failure]);
+  this->failed = static_cast<bool>(failure);
+  return !this->failed;
+}
+
+bool HttpExchange::WriteChunk(std::string_view data) {
+  if (data.empty() || this->failed) return !this->failed;
+  beast::error_code failure;
+  this->stream.expires_after(kernel::Millis(this->limits.write_timeout_ms));
+  asio::async_write(
+      this->stream,
+      beast::http::make_chunk(asio::const_buffer(data.data(), data.size())),
+      this->yield[failure]);
+  this->failed = static_cast<bool>(failure);
+  return !this->failed;
+}
+
+void HttpExchange::EndStream() {
+  if (this->failed) return;
+  beast::error_code failure;
+  this->stream.expires_after(kernel::Millis(this->limits.write_timeout_ms));
+  asio::async_write(this->stream, beast::http::make_chunk_last(),
+                    this->yield[failure]);
+  this->ended = true;
+  this->failed = static_cast<bool>(failure);
+}
+
+void HttpExchange::Abort() {
+  this->failed = true;
+  beast::error_code ignored;
+  this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+}  // namespace banyanlane::http
--- /dev/null
+++ b/src/http/internal/http_exchange.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "http/i_http_handler.h"
+#include "http/internal/asio_http.h"
+
+namespace banyanlane::http {
+
+/// State that outlives the exchange: wakes its wait, remembers that the caller
+/// has gone.
+class ExchangeSignal : public INotifier,
+                       public std::enable_shared_from_this<ExchangeSignal> {
+ public:
+  explicit ExchangeSignal(const Strand& strand)
+      : strand(strand), timer(strand) {}
+
+  void Notify() override;
+
+  /// Marks the caller as gone and wakes the wait. Runs on the strand.
+  void MarkGone();
+
+  /// Suspends until notified, gone or `until`. Runs on the strand.
+  WakeReason Wait(kernel::TimePoint until, asio::yield_context yield);
+
+ private:
+  Strand strand;
+  asio::steady_timer timer;
+  std::atomic<bool> notified{false};
+  bool gone = false;
+};
+
+/// Beast implementation of one exchange.
+class HttpExchange : public IHttpExchange {
+ public:
+  HttpExchange(StrandStream& stream, const Strand& strand,
+               asio::yield_context yield, HttpRequest request,
+               const ServerLimits& limits, bool keep_alive);
+  ~HttpExchange() override;
+
+  const HttpRequest& request() const override { return this->received; }
+  std::shared_ptr<INotifier> notifier() override { return this->signal; }
+  WakeReason Wait(kernel::TimePoint until) override;
+  void Reply(const HttpResponse& response) override;
+  bool BeginStream(int status, const Headers& headers) override;
+  bool WriteChunk(std::string_view data) override;
+  void EndStream() override;
+  void Abort() override;
+
+  /// Returns whether the connection can carry another request.
+  bool CanContinue() const {
+    return this->keep_alive && this->ended && !this->failed;
+  }
+
+ private:
+  void WatchCaller();
+  void SetFields(beast::http::fields& fields, const Headers& headers) const;
+
+  StrandStream& stream;
+  asio::yield_context yield;
+  HttpRequest received;
+  ServerLimits limits;
+  std::shared_ptr<ExchangeSignal> signal;
+  bool keep_alive;
+  bool watching = false;
+  bool ended = false;
+  bool failed = false;
+};
+
+}  // namespace banyanlane::http
--- /dev/null
+++ b/src/http/internal/http_runtime.cc
@@ -0,0 +1,133 @@
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+#include "http/i_http_runtime.h"
+#include "http/internal/http_call.h"
+#include "http/internal/http_server.h"
+
+namespace banyanlane::http {
+namespace {
+
+constexpr kernel::Millis kCancelCheckPeriod{50};
+
+/// Repeats a task on the pool.
+class PeriodicTask : public std::enable_shared_from_this<PeriodicTask> {
+ public:
+  PeriodicTask(asio::io_context& io, kernel::Millis period,
+               std::function<void(kernel::TimePoint)> task)
+      : timer(io), period(period), task(std::move(task)) {}
+
+  void Schedule() {
+    this->timer.expires_after(this->period);
+    this->timer.async_wait(
+        [self = this->shared_from_this()](const beast::error_code& failure) {
+          if (failure) return;
+          self->task(kernel::Clock::now());
+          self->Schedule();
+        });
+  }
+
+ private:
+  asio::steady_timer timer;
+  kernel::Millis period;
+  std::function<void(kernel::TimePoint)> task;
+};
+
+class HttpRuntime : public IHttpRuntime {
+ public:
+  ~HttpRuntime() override { this->Stop(); }
+
+  kernel::Result<std::shared_ptr<IHttpServer>> Listen(
+      const std::string& address, std::shared_ptr<IHttpHandler> handler,
+      const ServerLimits& limits) override {
+    const auto endpoint = ResolveAddress(address);
+    if (const kernel::Error* error = kernel::ErrorOf(endpoint)) return *error;
+    auto server =
+        std::make_shared<HttpServer>(this->io, std::move(handler), limits);
+    const auto opened = server->Open(std::get<0>(endpoint));
+    if (const kernel::Error* error = kernel::ErrorOf(opened)) return *error;
+    return std::shared_ptr<IHttpServer>(server);
+  }
+
+  std::shared_ptr<IHttpCall> Call(
+      const std::string& address, HttpRequest request, const CallLimits& limits,
+      std::shared_ptr<IHttpCallObserver> observer) override {
+    auto call = std::make_shared<HttpCall>(
+        this->io, address, std::move(request), limits, std::move(observer));
+    call->Start();
+    return call;
+  }
+
+  void Every(kernel::Millis period,
+             std::function<void(kernel::TimePoint)> task) override {
+    std::make_shared<PeriodicTask>(this->io, period, std::move(task))
+        ->Schedule();
+  }
+
+  void Start(int threads) override {
+    for (int i = 0; i < threads; ++i) {
+      this->pool.emplace_back([this] { this->io.run(); });
+    }
+  }
+
+  void Stop() override {
+    this->io.stop();
+    for (std::thread& thread : this->pool) thread.join();
+    this->pool.clear();
+  }
+
+ private:
+  asio::io_context io;
+  asio::executor_work_guard<asio::io_context::executor_type> work{
+      io.get_executor()};
+  std::vector<std::thread> pool;
+};
+
+/// Collects a whole answer.
+class FetchObserver : public IHttpCallObserver {
+ public:
+  void OnHead(int status, const Headers& headers) override {
+    this->response.status = status;
+    this->response.headers = headers;
+  }
+  void OnData(std::string_view data) override { this->response.body += data; }
+  void OnEnd() override { this->result = this->response; }
+  void OnFailed(const kernel::Error& error, SendState /*state*/) override {
+    this->result = error;
+  }
+
+  std::optional<kernel::Result<HttpResponse>> result;
+
+ private:
+  HttpResponse response;
+};
+
+}  // namespace
+
+std::shared_ptr<IHttpRuntime> MakeHttpRuntime() {
+  return std::make_shared<HttpRuntime>();
+}
+
+kernel::Result<HttpResponse> Fetch(const std::string& address,
+                                   const HttpRequest& request,
+                                   kernel::Millis timeout,
+                                   const std::atomic<bool>* cancelled) {
+  asio::io_context io;
+  auto observer = std::make_shared<FetchObserver>();
+  const CallLimits limits{timeout, timeout, timeout};
+  std::make_shared<HttpCall>(io, address, request, limits, observer)->Start();
+  const kernel::TimePoint end = kernel::Clock::now() + timeout;
+  while (!observer->result && kernel::Clock::now() < end) {
+    if (cancelled != nullptr && *cancelled) break;
+    io.run_for(kCancelCheckPeriod);
+    io.restart();
+  }
+  if (observer->result) return *observer->result;
+  return kernel::Error{kernel::ErrorCode::kTimeout, "fetch", address,
+                       "no answer in time"};
+}
+
+}  // namespace banyanlane::http
--- /dev/null
+++ b/src/http/internal/http_server.cc
@@ -0,0 +1,145 @@
+#include "http/internal/http_server.h"
+
+#include <optional>
+
+#include "http/internal/http_exchange.h"
+
+namespace banyanlane::http {
+namespace {
+
+using Parser = beast::http::request_parser<beast::http::string_body>;
+
+/// Status for a request that could not be read, or nothing when the caller just
+/// closed.
+std::optional<HttpResponse> AnswerToUnreadable(
+    const beast::error_code& failure) {
+  using beast::http::error;
+  if (failure == error::end_of_stream ||
+      failure == asio::error::operation_aborted)
+    return {};
+  int status = 400;
+  if (failure == error::header_limit) status = 431;
+  if (failure == error::body_limit) status = 413;
+  if (failure == beast::error::timeout || failure == error::partial_message)
+    status = 408;
+  HttpResponse response;
+  response.status = status;
+  response.headers = {{"content-type", "application/problem+json"}};
+  response.body =
+      "{\"outcome\":\"not_run\",\"status\":" + std::to_string(status) +
+      ",\"step\":\"read_request\",\"title\":\"" + failure.message() + "\"}\n";
+  return response;
+}
+
+std::string PeerOf(StrandStream& stream) {
+  beast::error_code failure;
+  const tcp::endpoint peer = stream.socket().remote_endpoint(failure);
+  if (failure) return "";
+  return peer.address().to_string() + ":" + std::to_string(peer.port());
+}
+
+HttpRequest CopyRequest(const Parser::value_type& message, std::string peer) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.headers = CopyFields(message);
+  request.body = message.body();
+  request.peer = std::move(peer);
+  return request;
+}
+
+}  // namespace
+
+HttpServer::HttpServer(asio::io_context& io,
+                       std::shared_ptr<IHttpHandler> handler,
+                       const ServerLimits& limits)
+    : io(io), acceptor(io), handler(std::move(handler)), limits(limits) {}
+
+kernel::Result<std::uint16_t> HttpServer::Open(const tcp::endpoint& endpoint) {
+  beast::error_code failure;
+  this->acceptor.open(endpoint.protocol(), failure);
+  if (!failure)
+    this->acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+  if (!failure) this->acceptor.bind(endpoint, failure);
+  if (!failure)
+    this->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  if (failure) {
+    return kernel::Error{
+        kernel::ErrorCode::kInvalidSettings, "listen",
+        endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
+        failure.message()};
+  }
+  this->bound_port = this->acceptor.local_endpoint().port();
+  this->Accept();
+  return this->bound_port;
+}
+
+void HttpServer::StopAccepting() {
+  asio::post(this->io, [self = this->shared_from_this()] {
+    beast::error_code ignored;
+    self->acceptor.close(ignored);
+  });
+}
+
+void HttpServer::Accept() {
+  auto strand = asio::make_strand(this->io.get_executor());
+  auto stream = std::make_shared<StrandStream>(strand);
+  this->acceptor.async_accept(
+      stream->socket(), [self = this->shared_from_this(), strand,
+                         stream](const beast::error_code& failure) {
+        if (failure == asio::error::operation_aborted) return;
+        if (!self->acceptor.is_open()) return;
+        self->Accept();
+        if (failure) return;
+        SetTransportTimeouts(stream->socket().native_handle());
+        asio::spawn(strand, [self, strand, stream](asio::yield_context yield) {
+          self->Serve(*stream, strand, yield);
+        });
+      });
+}
+
+void HttpServer::Serve(StrandStream& stream, const Strand& strand,
+                       asio::yield_context yield) {
+  beast::flat_buffer buffer;
+  while (this->ServeOne(stream, strand, buffer, yield)) {
+  }
+  beast::error_code ignored;
+  stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+bool HttpServer::ServeOne(StrandStream& stream, const Strand& strand,
+                          beast::flat_buffer& buffer,
+                          asio::yield_context yield) {
+  Parser parser;
+  parser.header_limit(this->limits.header_bytes);
+  parser.body_limit(this->limits.body_bytes);
+  beast::error_code failure;
+  if (buffer.size() == 0) {
+    stream.expires_after(kernel::Millis(this->limits.idle_timeout_ms));
+    const std::size_t count = stream.async_read_some(
+        buffer.prepare(this->limits.header_bytes), yield[failure]);
+    if (failure) return false;
+    buffer.commit(count);
+  }
+  stream.expires_after(kernel::Millis(this->limits.read_timeout_ms));
+  beast::http::async_read(stream, buffer, parser, yield[failure]);
+  stream.expires_never();
+  if (failure) {
+    const auto answer = AnswerToUnreadable(failure);
+    if (!answer || failure == beast::error::timeout) return false;
+    HttpExchange exchange(stream, strand, yield, HttpRequest{}, this->limits,
+                          false);
+    exchange.Reply(*answer);
+    return false;
+  }
+  ++this->active;
+  HttpExchange exchange(stream, strand, yield,
+                        CopyRequest(parser.get(), PeerOf(stream)), this->limits,
+                        parser.get().keep_alive());
+  this->handler->Handle(exchange);
+  --this->active;
+  stream.expires_never();
+  return exchange.CanContinue() && this->acceptor.is_open();
+}
+
+}  // namespace banyanlane::http
--- /dev/null
+++ b/src/http/internal/http_server.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+#include "http/i_http_runtime.h"
+#include "http/internal/asio_http.h"
+
+namespace banyanlane::http {
+
+/// Accepts connections and runs one coroutine for each.
+class HttpServer : public IHttpServer,
+                   public std::enable_shared_from_this<HttpServer> {
+ public:
+  HttpServer(asio::io_context& io, std::shared_ptr<IHttpHandler> handler,
+             const ServerLimits& limits);
+
+  /// Binds to `endpoint` and begins to accept.
+  kernel::Result<std::uint16_t> Open(const tcp::endpoint& endpoint);
+
+  std::uint16_t port() const override { return this->bound_port; }
+  void StopAccepting() override;
+  std::size_t ActiveExchanges() const override { return this->active; }
+
+ private:
+  void Accept();
+  void Serve(StrandStream& stream, const Strand& strand,
+             asio::yield_context yield);
+  /// Answers one request. @return whether the connection goes on.
+  bool ServeOne(StrandStream& stream, const Strand& strand,
+                beast::flat_buffer& buffer, asio::yield_context yield);
+
+  asio::io_context& io;
+  tcp::acceptor acceptor;
+  std::shared_ptr<IHttpHandler> handler;
+  ServerLimits limits;
+  std::uint16_t bound_port = 0;
+  std::atomic<std::size_t> active{0};
+};
+
+}  // namespace banyanlane::http
--- /dev/null
+++ b/src/kernel/metrics.cc
@@ -0,0 +1,107 @@
+#include "kernel/metrics.h"
+
+#include <fmt/format.h>
+
+#include <boost/histogram.hpp>
+
+namespace banyanlane::kernel {
+namespace {
+
+namespace bh = boost::histogram;
+
+constexpr unsigned kBuckets = 24;
+constexpr double kLowestMillis = 0.05;
+constexpr double kHighestMillis = 60'000.0;
+
+using LatencyAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using Latency = decltype(bh::make_histogram(
+    LatencyAxis(kBuckets, kLowestMillis, kHighestMillis)));
+
+Latency MakeLatency() {
+  return bh::make_histogram(
+      LatencyAxis(kBuckets, kLowestMillis, kHighestMillis));
+}
+
+std::string BaseName(std::string_view series) {
+  return std::string(series.substr(0, series.find('{')));
+}
+
+void RenderType(std::string& text, std::string& previous,
+                std::string_view series, std::string_view type) {
+  const std::string base = BaseName(series);
+  if (base == previous) return;
+  text += fmt::format("# TYPE {} {}\n", base, type);
+  previous = base;
+}
+
+}  // namespace
+
+struct Metrics::Histograms {
+  struct Series {
+    Latency histogram = MakeLatency();
+    double sum = 0;
+  };
+  std::map<std::string, Series, std::less<>> series;
+};
+
+Metrics::Metrics() : histograms(std::make_unique<Histograms>()) {}
+Metrics::~Metrics() = default;
+
+void Metrics::Count(std::string_view series, std::uint64_t amount) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->counters.find(series);
+  if (found == this->counters.end()) {
+    this->counters.emplace(series, amount);
+    return;
+  }
+  found->second += amount;
+}
+
+void Metrics::SetGauge(std::string_view series, double value) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->gauges.insert_or_assign(std::string(series), value);
+}
+
+void Metrics::ObserveMillis(std::string_view series, double millis) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Histograms::Series& target = this->histograms->series[std::string(series)];
+  target.histogram(millis);
+  target.sum += millis;
+}
+
+std::uint64_t Metrics::Counter(std::string_view series) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->counters.find(series);
+  return found == this->counters.end() ? 0 : found->second;
+}
+
+std::string Metrics::Render() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::string text;
+  std::string previous;
+  for (const auto& [series, value] : this->counters) {
+    RenderType(text, previous, series, "counter");
+    text += fmt::format("{} {}\n", series, value);
+  }
+  for (const auto& [series, value] : this->gauges) {
+    RenderType(text, previous, series, "gauge");
+    text += fmt::format("{} {}\n", series, value);
+  }
+  for (const auto& [name, series] : this->histograms->series) {
+    RenderType(text, previous, name, "histogram");
+    double cumulative = 0;
+    for (const auto& bin : bh::indexed(series.histogram, bh::coverage::all)) {
+      cumulative += *bin;
+      const double upper = bin.bin().upper();
+      const std::string edge =
+          upper > kHighestMillis ? "+Inf" : fmt::format("{:.3f}", upper);
+      text +=
+          fmt::format("{}_bucket{{le=\"{}\"}} {}\n", name, edge, cumulative);
+    }
+    text += fmt::format("{}_sum {}\n{}_count {}\n", name, series.sum, name,
+                        cumulative);
+  }
+  return text;
+}
+
+}  // namespace banyanlane::kernel
--- /dev/null
+++ b/src/link/internal/codec.cc
@@ -0,0 +1,222 @@
+#include "link/codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include "kernel/enum_names.h"
+
+namespace banyanlane::link {
+namespace {
+
+using nlohmann::json;
+
+constexpr kernel::EnumNames<Outcome, 3> kOutcomeNames = {{
+    {Outcome::kCompleted, "completed"},
+    {Outcome::kNotRun, "not_run"},
+    {Outcome::kUnknown, "unknown"},
+}};
+
+constexpr kernel::EnumNames<Reason, 23> kReasonNames = {{
+    {Reason::kNone, "none"},
+    {Reason::kLeaving, "leaving"},
+    {Reason::kFull, "full"},
+    {Reason::kExpired, "expired"},
+    {Reason::kRevoked, "revoked"},
+    {Reason::kUnknownProfile, "unknown_profile"},
+    {Reason::kWrongIncarnation, "wrong_incarnation"},
+    {Reason::kKeyConflict, "key_conflict"},
+    {Reason::kKeyExpired, "key_expired"},
+    {Reason::kEndpointDown, "endpoint_down"},
+    {Reason::kEndpointFailed, "endpoint_failed"},
+    {Reason::kQuarantined, "quarantined"},
+    {Reason::kNotFound, "not_found"},
+    {Reason::kOffsetGone, "offset_gone"},
+    {Reason::kCancelled, "cancelled"},
+    {Reason::kAnswerTooLarge, "answer_too_large"},
+    {Reason::kOrganisationLimit, "organisation_limit"},
+    {Reason::kNoEndpoint, "no_endpoint"},
+    {Reason::kLinkLost, "link_lost"},
+    {Reason::kDeadline, "deadline"},
+    {Reason::kRetryBudget, "retry_budget"},
+    {Reason::kStopping, "stopping"},
+    {Reason::kKeySpent, "key_spent"},
+}};
+
+constexpr kernel::EnumNames<Suspicion, 3> kSuspicionNames = {{
+    {Suspicion::kSuspect, "suspect"},
+    {Suspicion::kQuarantined, "quarantined"},
+    {Suspicion::kCleared, "cleared"},
+}};
+
+struct MalformedFrame {
+  std::string detail;
+};
+
+/// Appends each field to a JSON array.
+class FieldWriter {
+ public:
+  explicit FieldWriter(json& array) : array(array) {}
+
+  template <typename... Fields>
+  void operator()(const Fields&... fields) {
+    (this->Add(fields), ...);
+  }
+
+ private:
+  template <typename Field>
+  void Add(const Field& field) {
+    if constexpr (std::is_enum_v<Field>) {
+      this->array.push_back(static_cast<std::uint64_t>(field));
+    } else {
+      this->array.push_back(field);
+    }
+  }
+
+  void Add(const Blob& blob) {
+    this->array.push_back(json::binary({blob.bytes.begin(), blob.bytes.end()}));
+  }
+
+  void Add(const WireHeaders& headers) {
+    json pairs = json::array();
+    for (const auto& [name, value] : headers)
+      pairs.push_back(json::array({name, value}));
+    this->array.push_back(std::move(pairs));
+  }
+
+  json& array;
+};
+
+/// Takes each field from a JSON array, checking its type.
+class FieldReader {
+ public:
+  explicit FieldReader(json& array) : array(array) {}
+
+  template <typename... Fields>
+  void operator()(Fields&... fields) {
+    if (this->array.size() != sizeof...(Fields) + 1)
+      throw MalformedFrame{"wrong field count"};
+    (this->Take(fields), ...);
+  }
+
+ private:
+  json& Next() { return this->array[this->next++]; }
+
+  void Take(std::string& field) {
+    json& value = this->Next();
+    if (!value.is_string()) throw MalformedFrame{"a field is not text"};
+    field = std::move(value.get_ref<std::string&>());
+  }
+
+  void Take(std::uint64_t& field) {
+    const json& value = this->Next();
+    if (!value.is_number_unsigned())
+      throw MalformedFrame{"a field is not a number"};
+    field = value.get<std::uint64_t>();
+  }
+
+  void Take(bool& field) {
+    const json& value = this->Next();
+    if (!value.is_boolean()) throw MalformedFrame{"a field is not a boolean"};
+    field = value.get<bool>();
+  }
+
+  void Take(Blob& blob) {
+    const json& value = this->Next();
+    if (!value.is_binary()) throw MalformedFrame{"a field is not binary"};
+    const json::binary_t& bytes = value.get_binary();
+    blob.bytes.assign(bytes.begin(), bytes.end());
+  }
+
+  void Take(WireHeaders& headers) {
+    const json& value = this->Next();
+    if (!value.is_array()) throw MalformedFrame{"header fields are not a list"};
+    for (const json& pair : value) {
+      const bool valid = pair.is_array() && pair.size() == 2 &&
+                         pair[0].is_string() && pair[1].is_string();
+      if (!valid) throw MalformedFrame{"a header field is not a pair"};
+      headers.emplace_back(pair[0].get<std::string>(),
+                           pair[1].get<std::string>());
+    }
+  }
+
+  void Take(std::vector<std::string>& texts) {
+    const json& value = this->Next();
+    if (!value.is_array()) throw MalformedFrame{"a field is not a list"};
+    for (const json& text : value) {
+      if (!text.is_string())
+        throw MalformedFrame{"a list holds more than text"};
+      texts.push_back(text.get<std::string>());
+    }
+  }
+
+  template <typename Enum, std::size_t kCount>
+  void TakeEnum(Enum& field, const kernel::EnumNames<Enum, kCount>& /*table*/) {
+    std::uint64_t number = 0;
+    this->Take(number);
+    if (number >= kCount) throw MalformedFrame{"an enumerator is unknown"};
+    field = static_cast<Enum>(number);
+  }
+
+  void Take(Outcome& field) { this->TakeEnum(field, kOutcomeNames); }
+  void Take(Reason& field) { this->TakeEnum(field, kReasonNames); }
+  void Take(Suspicion& field) { this->TakeEnum(field, kSuspicionNames); }
+
+  json& array;
+  std::size_t next = 1;
+};
+
+template <std::size_t kIndex = 0>
+Message DecodeAs(std::uint64_t number, json& array) {
+  if constexpr (kIndex < std::variant_size_v<Message>) {
+    if (number != kIndex) return DecodeAs<kIndex + 1>(number, array);
+    std::variant_alternative_t<kIndex, Message> message;
+    FieldReader reader(array);
+    message.Visit(reader);
+    return message;
+  } else {
+    throw MalformedFrame{"message number " + std::to_string(number) +
+                         " is unknown"};
+  }
+}
+
+kernel::Error Malformed(const std::string& detail) {
+  return kernel::Error{kernel::ErrorCode::kInvalidMessage, "decode_frame", "",
+                       detail};
+}
+
+}  // namespace
+
+std::string_view OutcomeName(Outcome outcome) {
+  return kernel::NameOf(kOutcomeNames, outcome);
+}
+std::string_view ReasonName(Reason reason) {
+  return kernel::NameOf(kReasonNames, reason);
+}
+std::string_view SuspicionName(Suspicion suspicion) {
+  return kernel::NameOf(kSuspicionNames, suspicion);
+}
+
+std::string Encode(const Message& message) {
+  json array = json::array();
+  array.push_back(static_cast<std::uint64_t>(message.index()));
+  FieldWriter writer(array);
+  // Visit is shared with decoding and so not const; the writer only reads.
+  std::visit([&writer](auto& fields) { fields.Visit(writer); },
+             const_cast<Message&>(message));
+  std::string frame;
+  json::to_cbor(array, frame);
+  return frame;
+}
+
+kernel::Result<Message> Decode(std::string_view frame) {
+  json array = json::from_cbor(frame.begin(), frame.end(), true, false);
+  if (!array.is_array() || array.empty() || !array[0].is_number_unsigned()) {
+    return Malformed("not a numbered array");
+  }
+  try {
+    return DecodeAs(array[0].get<std::uint64_t>(), array);
+  } catch (const MalformedFrame& malformed) {
+    return Malformed(malformed.detail);
+  }
+}
+
+}  // namespace banyanlane::link
--- /dev/null
+++ b/src/link/internal/link_session.cc
@@ -0,0 +1,135 @@
+#include "link/internal/link_session.h"
+
+#include "kernel/event_log.h"
+#include "link/codec.h"
+
+namespace banyanlane::link {
+namespace {
+
+using kernel::EventId;
+
+std::atomic<std::uint64_t> last_link_number{0};
+
+}  // namespace
+
+LinkSession::LinkSession(std::shared_ptr<const SessionShared> shared,
+                         std::shared_ptr<ITransport> transport,
+                         kernel::TimePoint now)
+    : number(++last_link_number),
+      shared(std::move(shared)),
+      transport(std::move(transport)),
+      opened_at(now),
+      last_received(now),
+      last_heartbeat(now) {}
+
+bool LinkSession::Send(const Message& message) {
+  if (this->closed) return false;
+  if (this->transport->QueuedBytes() > this->shared->limits.queue_bytes) {
+    this->Close("queue over its bound");
+    return false;
+  }
+  this->transport->Send(Encode(message));
+  return true;
+}
+
+void LinkSession::Close(std::string_view reason) {
+  if (this->closed.exchange(true)) return;
+  this->transport->Close(reason);
+}
+
+void LinkSession::OnOpen(kernel::TimePoint now) {
+  this->last_received = now;
+  this->opened_at = now;
+  this->Send(this->shared->hello());
+}
+
+void LinkSession::OnFrame(std::string_view frame, kernel::TimePoint now) {
+  if (this->closed) return;
+  this->last_received = now;
+  auto decoded = Decode(frame);
+  if (const kernel::Error* error = kernel::ErrorOf(decoded)) {
+    this->RefuseFrame(*error);
+    return;
+  }
+  auto& message = std::get<Message>(decoded);
+  if (const Hello* hello = std::get_if<Hello>(&message)) {
+    this->OnHello(*hello, now);
+    return;
+  }
+  if (!this->up) {
+    this->RefuseFrame({kernel::ErrorCode::kInvalidMessage, "handshake", "",
+                       "no Hello first"});
+    return;
+  }
+  for (const auto& observer : this->shared->observers) {
+    observer->OnMessage(this->shared_from_this(), message, now);
+  }
+}
+
+void LinkSession::OnHello(const Hello& hello, kernel::TimePoint now) {
+  if (this->up) {
+    this->RefuseFrame({kernel::ErrorCode::kInvalidMessage, "handshake", "",
+                       "a second Hello"});
+    return;
+  }
+  if (hello.protocol != kProtocolVersion) {
+    kernel::LogEvent(
+        EventId::kLinkPeerRefused,
+        {{"peer", this->transport->Address()},
+         {"step", "handshake"},
+         {"reason", "protocol " + std::to_string(hello.protocol)}});
+    this->Close("protocol version");
+    return;
+  }
+  this->peer_hello = hello;
+  this->up = true;
+  kernel::LogEvent(EventId::kLinkOpened,
+                   {{"peer", hello.node},
+                    {"address", this->transport->Address()},
+                    {"incarnation", std::to_string(hello.incarnation)},
+                    {"revision", std::to_string(hello.revision)}});
+  for (const auto& observer : this->shared->observers) {
+    observer->OnLinkUp(this->shared_from_this(), now);
+  }
+}
+
+void LinkSession::RefuseFrame(const kernel::Error& error) {
+  kernel::LogEvent(EventId::kLinkFrameRefused,
+                   {{"peer", this->transport->Address()},
+                    {"step", error.step},
+                    {"reason", error.detail}});
+  this->Close("malformed frame");
+}
+
+void LinkSession::OnTick(kernel::TimePoint now) {
+  if (this->closed) return;
+  const auto bound = this->up ? this->shared->limits.SilenceBound()
+                              : this->shared->limits.handshake;
+  if (now - this->last_received > bound) {
+    kernel::LogEvent(EventId::kLinkSilent,
+                     {{"peer", this->transport->Address()},
+                      {"node", this->peer_hello.node},
+                      {"silent_ms", std::to_string(kernel::MillisBetween(
+                                        this->last_received, now))}});
+    this->Close("silent");
+    return;
+  }
+  if (this->up &&
+      now - this->last_heartbeat >= this->shared->limits.heartbeat) {
+    this->last_heartbeat = now;
+    this->Send(this->shared->heartbeat());
+  }
+}
+
+void LinkSession::OnClosed(kernel::TimePoint now) {
+  this->closed = true;
+  if (!this->up.exchange(false)) return;
+  kernel::LogEvent(EventId::kLinkClosed,
+                   {{"peer", this->peer_hello.node},
+                    {"address", this->transport->Address()}});
+  for (const auto& observer : this->shared->observers) {
+    observer->OnLinkDown(this->shared_from_this(), now);
+  }
+}
+
+}  // namespace banyanlane::link
--- /dev/null
+++ b/src/link/internal/ws_hub.cc
@@ -0,0 +1,247 @@
+#include "link/internal/ws_hub.h"
+
+#include <algorithm>
+
+#include "http/http_types.h"
+
+namespace banyanlane::link {
+namespace {
+
+constexpr kernel::Millis kTickPeriod{50};
+constexpr int kCloseHandshakeMillis = 200;
+constexpr int kListenBacklog = 512;
+
+/// Sends on one websocketpp connection.
+template <typename Endpoint>
+class WsTransport : public ITransport {
+ public:
+  WsTransport(boost::asio::io_context& io,
+              const typename Endpoint::connection_ptr& connection,
+              std::string address)
+      : io(io), connection(connection), address(std::move(address)) {}
+
+  void Send(std::string frame) override {
+    const auto open = this->connection.lock();
+    if (!open) return;
+    // A failed send ends in the connection's close handler.
+    static_cast<void>(open->send(frame, websocketpp::frame::opcode::binary));
+  }
+
+  void Close(std::string_view reason) override {
+    boost::asio::post(
+        this->io, [weak = this->connection, text = std::string(reason)] {
+          const auto open = weak.lock();
+          if (!open) return;
+          websocketpp::lib::error_code ignored;
+          open->close(websocketpp::close::status::normal, text, ignored);
+          if (ignored) open->terminate(ignored);
+        });
+  }
+
+  std::size_t QueuedBytes() const override {
+    const auto open = this->connection.lock();
+    return open ? open->get_buffered_amount() : 0;
+  }
+
+  std::string Address() const override { return this->address; }
+
+ private:
+  boost::asio::io_context& io;
+  std::weak_ptr<typename Endpoint::connection_type> connection;
+  std::string address;
+};
+
+}  // namespace
+
+WsHub::WsHub(const LinkLimits& limits)
+    : shared(std::make_shared<SessionShared>()) {
+  this->shared->limits = limits;
+  this->Prepare(this->server);
+  this->Prepare(this->client);
+  this->server.set_reuse_addr(true);
+  this->server.set_listen_backlog(kListenBacklog);
+}
+
+WsHub::~WsHub() { this->Stop(); }
+
+template <typename Endpoint>
+void WsHub::Prepare(Endpoint& endpoint) {
+  endpoint.clear_access_channels(websocketpp::log::alevel::all);
+  endpoint.clear_error_channels(websocketpp::log::elevel::all);
+  endpoint.init_asio(&this->io);
+  endpoint.set_max_message_size(this->shared->limits.frame_bytes);
+  endpoint.set_open_handshake_timeout(this->shared->limits.handshake.count());
+  endpoint.set_close_handshake_timeout(kCloseHandshakeMillis);
+}
+
+void WsHub::SetLocal(std::function<Hello()> hello,
+                     std::function<Heartbeat()> heartbeat) {
+  this->shared->hello = std::move(hello);
+  this->shared->heartbeat = std::move(heartbeat);
+}
+
+void WsHub::Subscribe(std::shared_ptr<ILinkObserver> observer) {
+  this->shared->observers.push_back(std::move(observer));
+}
+
+template <typename Endpoint>
+void WsHub::Bind(Endpoint& /*endpoint*/,
+                 const typename Endpoint::connection_ptr& connection,
+                 const std::shared_ptr<LinkSession>& session) {
+  connection->set_tcp_post_init_handler(
+      [weak = std::weak_ptr(connection)](const Handle&) {
+        const auto open = weak.lock();
+        boost::system::error_code ignored;
+        if (open)
+          open->get_raw_socket().set_option(
+              boost::asio::ip::tcp::no_delay(true), ignored);
+      });
+  connection->set_open_handler(
+      [session](const Handle&) { session->OnOpen(kernel::Clock::now()); });
+  connection->set_message_handler(
+      [session](const Handle&, const typename Endpoint::message_ptr& message) {
+        session->OnFrame(message->get_payload(), kernel::Clock::now());
+      });
+  const auto ended = [this, session](const Handle&) {
+    session->OnClosed(kernel::Clock::now());
+    this->Forget(session);
+  };
+  connection->set_close_handler(ended);
+  connection->set_fail_handler(ended);
+}
+
+kernel::Result<std::uint16_t> WsHub::Listen(const std::string& address) {
+  const auto parsed = http::ParseHostPort(address);
+  if (const kernel::Error* error = kernel::ErrorOf(parsed)) return *error;
+  const auto& host_port = std::get<0>(parsed);
+  const auto fail = [&address](const std::string& detail) {
+    return kernel::Error{kernel::ErrorCode::kInvalidSettings, "listen", address,
+                         detail};
+  };
+  boost::system::error_code invalid;
+  const auto ip = boost::asio::ip::make_address(host_port.host, invalid);
+  if (invalid) return fail(invalid.message());
+  this->server.set_validate_handler([this](const Handle& handle) {
+    const auto connection = this->server.get_con_from_hdl(handle);
+    auto transport = std::make_shared<WsTransport<Server>>(
+        this->io, connection, connection->get_remote_endpoint());
+    auto session = std::make_shared<LinkSession>(
+        this->shared, std::move(transport), kernel::Clock::now());
+    this->Bind(this->server, connection, session);
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->sessions.push_back(session);
+    return true;
+  });
+  websocketpp::lib::error_code failure;
+  this->server.listen(boost::asio::ip::tcp::endpoint(ip, host_port.port),
+                      failure);
+  if (failure) return fail(failure.message());
+  this->server.start_accept(failure);
+  if (failure) return fail(failure.message());
+  boost::system::error_code ignored;
+  return this->server.get_local_endpoint(ignored).port();
+}
+
+void WsHub::SetTargets(const std::vector<std::string>& addresses) {
+  std::vector<std::shared_ptr<LinkSession>> dropped;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (auto it = this->targets.begin(); it != this->targets.end();) {
+      const bool kept = std::find(addresses.begin(), addresses.end(),
+                                  it->first) != addresses.end();
+      if (!kept && it->second.session) dropped.push_back(it->second.session);
+      it = kept ? std::next(it) : this->targets.erase(it);
+    }
+    for (const std::string& address : addresses)
+      this->targets.emplace(address, Target{});
+  }
+  for (const auto& session : dropped) session->Close("no longer wanted");
+}
+
+std::vector<LinkPtr> WsHub::Links() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<LinkPtr> links;
+  for (const auto& session : this->sessions) {
+    if (session->IsUp()) links.push_back(session);
+  }
+  return links;
+}
+
+void WsHub::Start() {
+  this->ScheduleTick();
+  this->thread = std::thread([this] { this->io.run(); });
+}
+
+void WsHub::Stop() {
+  this->io.stop();
+  if (this->thread.joinable()) this->thread.join();
+}
+
+void WsHub::ScheduleTick() {
+  this->tick_timer.expires_after(kTickPeriod);
+  this->tick_timer.async_wait([this](const boost::system::error_code& failure) {
+    if (failure) return;
+    this->Tick(kernel::Clock::now());
+    this->ScheduleTick();
+  });
+}
+
+void WsHub::Tick(kernel::TimePoint now) {
+  std::vector<std::shared_ptr<LinkSession>> all;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    all = this->sessions;
+  }
+  for (const auto& session : all) session->OnTick(now);
+  this->DialDueTargets(now);
+}
+
+void WsHub::DialDueTargets(kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  for (auto& [address, target] : this->targets) {
+    if (!target.session && now >= target.next_dial)
+      this->Dial(address, target, now);
+  }
+}
+
+void WsHub::Dial(const std::string& address, Target& target,
+                 kernel::TimePoint now) {
+  target.backoff = this->NextBackoff(target.backoff);
+  target.next_dial = now + target.backoff;
+  websocketpp::lib::error_code failure;
+  const auto connection =
+      this->client.get_connection("ws://" + address + "/link", failure);
+  if (failure) return;
+  auto transport =
+      std::make_shared<WsTransport<Client>>(this->io, connection, address);
+  auto session =
+      std::make_shared<LinkSession>(this->shared, std::move(transport), now);
+  this->Bind(this->client, connection, session);
+  target.session = session;
+  this->sessions.push_back(session);
+  this->client.connect(connection);
+}
+
+void WsHub::Forget(const std::shared_ptr<LinkSession>& session) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->sessions.erase(
+      std::remove(this->sessions.begin(), this->sessions.end(), session),
+      this->sessions.end());
+  for (auto& [address, target] : this->targets) {
+    if (target.session != session) continue;
+    target.session = nullptr;
+    if (session->peer().incarnation != 0) target.backoff = kernel::Millis{0};
+  }
+}
+
+kernel::Millis WsHub::NextBackoff(kernel::Millis previous) {
+  const LinkLimits& limits = this->shared->limits;
+  const auto highest =
+      std::min(limits.reconnect_highest,
+               std::max(limits.reconnect_lowest, previous * 2));
+  std::uniform_int_distribution<std::int64_t> jitter(highest.count() / 2,
+                                                     highest.count());
+  return kernel::Millis(jitter(this->random));
+}
+
+}  // namespace banyanlane::link
--- /dev/null
+++ b/src/link/internal/ws_hub.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "link/internal/link_session.h"
+
+namespace banyanlane::link {
+
+/// ILinkHub on websocketpp. One thread runs all links of the process.
+class WsHub : public ILinkHub {
+ public:
+  explicit WsHub(const LinkLimits& limits);
+  ~WsHub() override;
+
+  void SetLocal(std::function<Hello()> hello,
+                std::function<Heartbeat()> heartbeat) override;
+  void Subscribe(std::shared_ptr<ILinkObserver> observer) override;
+  kernel::Result<std::uint16_t> Listen(const std::string& address) override;
+  void SetTargets(const std::vector<std::string>& addresses) override;
+  std::vector<LinkPtr> Links() const override;
+  void Start() override;
+  void Stop() override;
+
+ private:
+  using Server = websocketpp::server<websocketpp::config::asio>;
+  using Client = websocketpp::client<websocketpp::config::asio_client>;
+  using Handle = websocketpp::connection_hdl;
+
+  /// A peer this process keeps a link to.
+  struct Target {
+    std::shared_ptr<LinkSession>
+        session;  ///< Null while there is no connection.
+    kernel::TimePoint next_dial;
+    kernel::Millis backoff{0};
+  };
+
+  template <typename Endpoint>
+  void Prepare(Endpoint& endpoint);
+  template <typename Endpoint>
+  void Bind(Endpoint& endpoint,
+            const typename Endpoint::connection_ptr& connection,
+            const std::shared_ptr<LinkSession>& session);
+  void ScheduleTick();
+  void Tick(kernel::TimePoint now);
+  void DialDueTargets(kernel::TimePoint now);
+  void Dial(const std::string& address, Target& target, kernel::TimePoint now);
+  void Forget(const std::shared_ptr<LinkSession>& session);
+  kernel::Millis NextBackoff(kernel::Millis previous);
+
+  boost::asio::io_context io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{
+      io.get_executor()};
+  boost::asio::steady_timer tick_timer{io};
+  std::shared_ptr<SessionShared> shared;
+  Server server;
+  Client client;
+  std::thread thread;
+  mutable std::mutex mutex;
+  std::vector<std::shared_ptr<LinkSession>> sessions;
+  std::map<std::string, Target> targets;
+  std::minstd_rand random{std::random_device{}()};
+};
+
+}  // namespace banyanlane::link
--- /dev/null
+++ b/tests/standins/engine_standin.cc
@@ -0,0 +1,102 @@
+#include <unistd.h>
+
+#include <atomic>
+#include <nlohmann/json.hpp>
+
+#include "kernel/hash.h"
+#include "standins/standins.h"
+
+namespace banyanlane::standins {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t kDefaultTokens = 16;
+
+bool Asks(const std::string& message, const char* fault) {
+  return message.find(fault) != std::string::npos;
+}
+
+class EngineStandin : public http::IHttpHandler {
+ public:
+  explicit EngineStandin(int token_millis) : token_millis(token_millis) {}
+
+  void Handle(http::IHttpExchange& exchange) override {
+    const std::string path = exchange.request().Path();
+    if (path == "/health") {
+      exchange.Reply({200, {}, json{{"boot", this->boot}}.dump()});
+      return;
+    }
+    if (path == "/control/stats") {
+      exchange.Reply({200,
+                      {},
+                      json{{"running", this->running.load()},
+                           {"whole", this->whole.load()},
+                           {"cancelled", this->cancelled.load()},
+                           {"tokens", this->tokens.load()}}
+                          .dump()});
+      return;
+    }
+    ++this->running;
+    (this->Generate(exchange) ? this->whole : this->cancelled) += 1;
+    --this->running;
+  }
+
+ private:
+  /// @return whether the answer was taken whole.
+  bool Generate(http::IHttpExchange& exchange) {
+    const json body = json::parse(exchange.request().body);
+    const std::string message =
+        body["messages"].back()["content"].get<std::string>();
+    const std::int64_t count = body.value("max_tokens", kDefaultTokens);
+    const bool stream = body.value("stream", false);
+    if (Asks(message, "CRASH")) _exit(1);
+    std::string text;
+    if (stream)
+      exchange.BeginStream(200, {{"content-type", "text/event-stream"}});
+    for (std::int64_t i = 0; i < count; ++i) {
+      const auto next =
+          kernel::Clock::now() + kernel::Millis(this->token_millis);
+      if (exchange.Wait(next) == http::WakeReason::kCallerGone) return false;
+      const std::string token = message + "-" + std::to_string(i) + " ";
+      text += token;
+      ++this->tokens;
+      const bool half = i == count / 2;
+      if (half && Asks(message, "CUT")) return exchange.Abort(), false;
+      if (half && Asks(message, "STALL")) {
+        return exchange.Wait(kernel::TimePoint::max()), false;
+      }
+      const json part = {
+          {"choices", {{{"index", 0}, {"delta", {{"content", token}}}}}}};
+      if (stream && !exchange.WriteChunk("data: " + part.dump() + "\n\n"))
+        return false;
+    }
+    if (stream) {
+      exchange.WriteChunk("data: [DONE]\n\n");
+      exchange.EndStream();
+      return true;
+    }
+    const json answer = {
+        {"choices",
+         {{{"message", {{"role", "assistant"}, {"content", text}}}}}},
+        {"usage", {{"completion_tokens", count}}}};
+    exchange.Reply(
+        {200, {{"content-type", "application/json"}}, answer.dump()});
+    return true;
+  }
+
+  const std::string boot = kernel::RandomId();
+  int token_millis;
+  std::atomic<int> running{0};
+  std::atomic<int> whole{0};
+  std::atomic<int> cancelled{0};
+  std::atomic<std::int64_t> tokens{0};
+};
+
+}  // namespace
+
+std::shared_ptr<http::IHttpHandler> MakeEngine(int token_millis) {
+  return std::make_shared<EngineStandin>(token_millis);
+}
+
+}  // namespace banyanlane::standins
--- /dev/null
+++ b/tests/standins/main.cc
@@ -0,0 +1,42 @@
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "http/i_http_runtime.h"
+#include "standins/standins.h"
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to serve");
+ABSL_FLAG(int, token_millis, 5, "time between the engine's tokens");
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto words = absl::ParseCommandLine(argc, argv);
+  const std::string kind = words.size() > 1 ? words[1] : "";
+  std::shared_ptr<banyanlane::http::IHttpHandler> handler;
+  if (kind == "platform") handler = banyanlane::standins::MakePlatform();
+  if (kind == "engine") {
+    handler =
+        banyanlane::standins::MakeEngine(absl::GetFlag(FLAGS_token_millis));
+  }
+  if (kind == "service") handler = banyanlane::standins::MakeService();
+  if (!handler) {
+    std::cerr << "standin: platform, engine or service\n";
+    return 2;
+  }
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const auto runtime = banyanlane::http::MakeHttpRuntime();
+  const auto server = runtime->Listen(absl::GetFlag(FLAGS_listen), handler, {});
+  if (const auto* error = banyanlane::kernel::ErrorOf(server)) {
+    std::cerr << banyanlane::kernel::Describe(*error) << "\n";
+    return 1;
+  }
+  runtime->Start(1);
+  int received = 0;
+  sigwait(&signals, &received);
+  _exit(0);
+}
--- /dev/null
+++ b/tests/standins/service_standin.cc
@@ -0,0 +1,58 @@
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+#include "standins/standins.h"
+
+namespace banyanlane::standins {
+namespace {
+
+using nlohmann::json;
+
+constexpr kernel::Millis kSlowAnswer{1'500};
+
+class ServiceStandin : public http::IHttpHandler {
+ public:
+  void Handle(http::IHttpExchange& exchange) override {
+    const http::HttpRequest& request = exchange.request();
+    const std::string path = request.Path();
+    if (path == "/health") {
+      exchange.Reply({200, {}, "{}"});
+      return;
+    }
+    if (path == "/control/executions") {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      exchange.Reply({200, {}, json(this->executions).dump()});
+      return;
+    }
+    int count = 0;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      count =
+          ++this->executions[request.method + " " + path + " " + request.body];
+    }
+    if (request.body.find("SLOW") != std::string::npos) {
+      exchange.Wait(kernel::Clock::now() + kSlowAnswer);
+    }
+    if (request.body.find("CUT") != std::string::npos) {
+      exchange.Abort();
+      return;
+    }
+    const json answer = {
+        {"path", path}, {"method", request.method}, {"executions", count}};
+    exchange.Reply(
+        {200, {{"content-type", "application/json"}}, answer.dump()});
+  }
+
+ private:
+  std::mutex mutex;
+  std::map<std::string, int> executions;
+};
+
+}  // namespace
+
+std::shared_ptr<http::IHttpHandler> MakeService() {
+  return std::make_shared<ServiceStandin>();
+}
+
+}  // namespace banyanlane::standins
