Prove the promises on whole sessions and under random failures

Cause: the promises were argued, not run. Found and mended, each seen failing first: - An attempt refused because the endpoint was full said Started before it said not_run; Started is now sent only once the endpoint was called. - A doubled Submit ran after its attempt was refused (seed 28): attempts that ended are remembered until they could not start anyway, and a Submit names the agent incarnation it is meant for. - After a lost link nothing was tried again when each endpoint had been tried once; those that failed may be tried again, those that refused not. Excluded: loss of single frames inside a live link, which TCP does not do.

--- a/src/agent/internal/agent_core.cc
+++ b/src/agent/internal/agent_core.cc
@@ -103,8 +103,8 @@
 std::optional<Reason> AgentCore::Objection(const link::Submit& submit,
                                            const config::Profile* profile,
                                            kernel::TimePoint now) const {
-  const bool revoked =
-      this->revocations.count({submit.request, submit.attempt}) > 0;
+  const auto before = this->settled.find({submit.request, submit.attempt});
+  const bool revoked = before != this->settled.end() && before->second.revoked;
   if (revoked) return Reason::kRevoked;
   if (this->ClockMillis(now) > submit.start_by_ms) return Reason::kExpired;
   if (profile == nullptr || profile->service != this->identity.service) {
@@ -113,9 +113,21 @@
   return std::nullopt;
 }
 
+bool AgentCore::IsStray(const link::Submit& submit) const {
+  if (submit.incarnation != this->identity.incarnation) return true;
+  if (this->stream_of_request.count(submit.request) > 0) return true;
+  const auto before = this->settled.find({submit.request, submit.attempt});
+  return before != this->settled.end() && !before->second.revoked;
+}
+
+void AgentCore::Settle(const link::Submit& submit) {
+  this->settled[{submit.request, submit.attempt}] =
+      SettledAttempt{submit.start_by_ms, false};
+}
+
 void AgentCore::On(std::uint64_t link, link::Submit& submit,
                    kernel::TimePoint now) {
-  if (this->FindByRequest(submit.request) != nullptr) return;
+  if (this->IsStray(submit)) return;
   const config::Profile* profile =
       this->config ? this->config->FindProfile(submit.profile) : nullptr;
   if (const auto objection = this->Objection(submit, profile, now)) {
@@ -291,6 +303,7 @@
 
 void AgentCore::Begin(Stream& stream, kernel::TimePoint /*now*/) {
   stream.state = StreamState::kRunning;
+  stream.begun = true;
   for (Subscriber& subscriber : stream.subscribers) {
     subscriber.started_sent = true;
     this->Do(SendMessage{subscriber.link, link::Started{subscriber.request,
@@ -321,7 +334,10 @@
     this->Finish(*stream, Outcome::kNotRun, Reason::kRevoked, now);
     return;
   }
-  this->revocations[{revoke.request, revoke.attempt}] = revoke.start_by_ms;
+  const auto before = this->settled.find({revoke.request, revoke.attempt});
+  if (before != this->settled.end() && !before->second.revoked) return;
+  this->settled[{revoke.request, revoke.attempt}] =
+      SettledAttempt{revoke.start_by_ms, true};
   link::Ended ended;
   ended.request = revoke.request;
   ended.attempt = revoke.attempt;
@@ -600,8 +616,9 @@
     if (Stream* stream = this->Find(id)) this->ExpireStream(*stream, now);
   }
   const std::uint64_t clock = this->ClockMillis(now);
-  for (auto it = this->revocations.begin(); it != this->revocations.end();) {
-    it = it->second < clock ? this->revocations.erase(it) : std::next(it);
+  for (auto it = this->settled.begin(); it != this->settled.end();) {
+    const bool past = it->second.start_by_ms < clock;
+    it = past ? this->settled.erase(it) : std::next(it);
   }
   this->ledger.Expire(clock);
   this->crash_evidence.Expire(now);
@@ -716,7 +733,9 @@
        it != this->stream_of_request.end();) {
     it = it->second == id ? this->stream_of_request.erase(it) : std::next(it);
   }
-  this->streams.erase(id);
+  const auto found = this->streams.find(id);
+  this->Settle(found->second->work);
+  this->streams.erase(found);
 }
 
 void AgentCore::Pump(Stream& stream) {
@@ -738,7 +757,7 @@
 
 void AgentCore::PumpSubscriber(Stream& stream, Subscriber& subscriber) {
   const std::uint64_t incarnation = this->identity.incarnation;
-  if (stream.state != StreamState::kQueued && !subscriber.started_sent) {
+  if (stream.begun && !subscriber.started_sent) {
     subscriber.started_sent = true;
     this->Do(SendMessage{subscriber.link, link::Started{subscriber.request,
                                                         subscriber.attempt}});
@@ -801,6 +820,7 @@
 
 void AgentCore::RefuseSubmit(std::uint64_t link, const link::Submit& submit,
                              Reason reason, Outcome outcome) {
+  this->Settle(submit);
   link::Ended ended;
   ended.request = submit.request;
   ended.attempt = submit.attempt;
--- a/src/agent/internal/agent_core.h
+++ b/src/agent/internal/agent_core.h
@@ -82,6 +82,13 @@
   std::uint64_t ClockMillis(kernel::TimePoint now) const;
 
  private:
+  /// An attempt that must not start, kept until it could not start anyway.
+  struct SettledAttempt {
+    std::uint64_t start_by_ms = 0;
+    bool revoked =
+        false;  ///< Before it came; else it came, and was refused or has ended.
+  };
+
   struct ParkedFailure {
     std::string stream;
     link::Reason reason;
@@ -99,6 +106,10 @@
   void On(std::uint64_t link, const link::Evidence& evidence,
           kernel::TimePoint now);
 
+  /// Returns whether `submit` came before, or is not for this agent.
+  bool IsStray(const link::Submit& submit) const;
+  void Settle(const link::Submit& submit);
+
   /// Returns why `submit` can't run here, if anything speaks against it.
   std::optional<link::Reason> Objection(const link::Submit& submit,
                                         const config::Profile* profile,
@@ -161,9 +172,7 @@
   evidence::CrashEvidence crash_evidence;
   std::unordered_map<std::string, std::unique_ptr<Stream>> streams;
   std::unordered_map<std::string, std::string> stream_of_request;
-  /// Revoked attempts and the agent time past which they could not start
-  /// anyway.
-  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> revocations;
+  std::map<std::pair<std::string, std::uint64_t>, SettledAttempt> settled;
 
   bool leaving = false;
   bool endpoint_up = true;
--- a/src/agent/internal/stream.h
+++ b/src/agent/internal/stream.h
@@ -45,6 +45,7 @@
   StreamState state = StreamState::kQueued;
   std::vector<Subscriber> subscribers;
 
+  bool begun = false;  ///< The endpoint was called.
   bool head_known = false;
   std::uint64_t status = 0;
   link::WireHeaders headers;
--- a/src/entry/internal/entry_service.cc
+++ b/src/entry/internal/entry_service.cc
@@ -297,6 +297,7 @@
       return false;
     }
     if (auto* problem = std::get_if<DeliverProblem>(&action)) {
+      this->OfferNextKey(problem->problem, runner.request());
       this->ReplyProblem(exchange, problem->problem);
       return false;
     }
@@ -333,6 +334,15 @@
   return true;
 }
 
+void EntryService::OfferNextKey(Problem& problem,
+                                const CallerRequest& request) {
+  // A key whose work was said not to have run is spent.
+  const bool spent =
+      !request.key.empty() && problem.outcome == link::Outcome::kNotRun;
+  if (!spent) return;
+  problem.next_key = this->IssueKey(*request.profile, kernel::Clock::now());
+}
+
 void EntryService::ReplyProblem(http::IHttpExchange& exchange,
                                 const Problem& problem) {
   this->metrics->Count("banyanlane_problems_total{reason=\"" + problem.reason +
--- a/src/entry/internal/entry_service.h
+++ b/src/entry/internal/entry_service.h
@@ -74,6 +74,8 @@
   /// over.
   bool Deliver(http::IHttpExchange& exchange, FlowRunner& runner,
                FlowActions actions);
+  /// Adds the key to use when the request is sent again, if its own is spent.
+  void OfferNextKey(Problem& problem, const CallerRequest& request);
   void ReplyProblem(http::IHttpExchange& exchange, const Problem& problem);
   std::vector<RunnerPtr> Runners();
 
--- a/src/entry/internal/flow_runner.h
+++ b/src/entry/internal/flow_runner.h
@@ -41,6 +41,8 @@
   /// Returns when the flow wants to be woken.
   kernel::TimePoint NextTimer();
   bool IsDone();
+  /// Returns the request, which does not change.
+  const CallerRequest& request() const { return this->flow->request(); }
 
  private:
   void Sort(FlowActions actions);
--- a/src/entry/internal/request_flow.cc
+++ b/src/entry/internal/request_flow.cc
@@ -123,7 +123,12 @@
       this->context.evidence.StandingOf(this->caller.fingerprint, now) !=
       evidence::Standing::kClear;
   route.avoid = this->tried;
-  const auto choice = this->context.directory.Choose(route, now);
+  auto choice = this->context.directory.Choose(route, now);
+  if (!choice && this->any_unknown) {
+    // Endpoints that failed may be back; those that refused would refuse again.
+    route.avoid = this->refused_by;
+    choice = this->context.directory.Choose(route, now);
+  }
   if (!choice) {
     const bool refused = this->last_refusal != Reason::kNone;
     this->GiveUp(refused ? this->last_refusal : Reason::kNoEndpoint, "route",
@@ -177,6 +182,7 @@
   link::Submit submit;
   submit.request = this->wire_request;
   submit.attempt = this->label;
+  submit.incarnation = endpoint.incarnation;
   submit.organisation = this->caller.organisation;
   submit.profile = this->caller.profile->name;
   submit.priority = this->caller.priority;
@@ -322,6 +328,7 @@
   // For a keyed request this is final: the agent will never run that key.
   if (!this->caller.key.empty()) this->any_unknown = false;
   this->last_refusal = ended.reason;
+  this->refused_by.insert(this->endpoint->node);
   this->last_retry_after_ms = ended.retry_after_ms;
   const bool can_move =
       this->caller.key.empty() && ended.reason != Reason::kQuarantined &&
--- a/src/entry/internal/request_flow.h
+++ b/src/entry/internal/request_flow.h
@@ -141,6 +141,7 @@
   std::uint64_t attempts = 0;
   std::uint64_t start_by_ms = 0;
   std::set<std::string> tried;
+  std::set<std::string> refused_by;
   link::Reason last_refusal = link::Reason::kNone;
   std::uint64_t last_retry_after_ms = 0;
   bool revoked = false;
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -96,6 +96,7 @@
 struct Submit {
   std::string request;
   std::uint64_t attempt = 0;
+  std::uint64_t incarnation = 0;  ///< Of the agent it is meant for.
   std::string organisation;
   std::string profile;
   std::uint64_t priority = 0;
@@ -112,8 +113,8 @@
 
   template <typename Visitor>
   void Visit(Visitor& visit) {
-    visit(this->request, this->attempt, this->organisation, this->profile,
-          this->priority, this->start_by_ms, this->deadline_ms,
+    visit(this->request, this->attempt, this->incarnation, this->organisation,
+          this->profile, this->priority, this->start_by_ms, this->deadline_ms,
           this->reserved_tokens, this->key, this->fingerprint, this->method,
           this->target, this->headers, this->body);
   }
--- /dev/null
+++ b/tests/sessions/session_world.cc
@@ -0,0 +1,500 @@
+#include "sessions/session_world.h"
+
+#include <fmt/format.h>
+
+#include "config/i_config.h"
+
+namespace banyanlane::sessions {
+namespace {
+
+struct Describer {
+  std::string operator()(const link::Submit& m) const {
+    return fmt::format("Submit {} #{} {} p{} start_by={}{}", m.request,
+                       m.attempt, m.profile, m.priority, m.start_by_ms,
+                       m.key.empty() ? "" : " key=" + m.key);
+  }
+  std::string operator()(const link::Started& m) const {
+    return fmt::format("Started {} #{}", m.request, m.attempt);
+  }
+  std::string operator()(const link::Head& m) const {
+    return fmt::format("Head {} #{} inc={} {}", m.request, m.attempt,
+                       m.incarnation, m.status);
+  }
+  std::string operator()(const link::Chunk& m) const {
+    return fmt::format("Chunk {} #{} @{} '{}'", m.request, m.attempt, m.offset,
+                       m.data.bytes);
+  }
+  std::string operator()(const link::Ended& m) const {
+    return fmt::format("Ended {} #{} {} {} length={}", m.request, m.attempt,
+                       link::OutcomeName(m.outcome), link::ReasonName(m.reason),
+                       m.length);
+  }
+  std::string operator()(const link::Revoke& m) const {
+    return fmt::format("Revoke {} #{}", m.request, m.attempt);
+  }
+  std::string operator()(const link::Cancel& m) const {
+    return fmt::format("Cancel {} #{}{}", m.request, m.attempt,
+                       m.at_once ? " at once" : "");
+  }
+  std::string operator()(const link::Resume& m) const {
+    return fmt::format("Resume {} #{} @{} {}", m.request, m.attempt, m.offset,
+                       m.organisation);
+  }
+  std::string operator()(const link::Consumed& m) const {
+    return fmt::format("Consumed {} #{} @{}", m.request, m.attempt, m.offset);
+  }
+  std::string operator()(const link::Evidence& m) const {
+    return fmt::format("Evidence {} {} crashes={}", m.fingerprint.substr(0, 6),
+                       link::SuspicionName(m.suspicion), m.crashes.size());
+  }
+  std::string operator()(const link::Heartbeat& m) const {
+    return fmt::format("Heartbeat leaving={} running={}", m.leaving, m.running);
+  }
+  template <typename Other>
+  std::string operator()(const Other& /*message*/) const {
+    return "other";
+  }
+};
+
+}  // namespace
+
+std::string Describe(const link::Message& message) {
+  return std::visit(Describer{}, message);
+}
+
+SessionWorld::SessionWorld(std::uint64_t seed)
+    : now(kernel::TimePoint{} + kernel::Millis(1'000'000)), seed(seed) {}
+
+void SessionWorld::AddAgent(const std::string& name, const std::string& service,
+                            const agent::AgentLimits& limits) {
+  this->agents[name].service = service;
+  this->agents[name].limits = limits;
+  this->StartCore(name);
+}
+
+void SessionWorld::StartCore(const std::string& name) {
+  AgentNode& node = this->agents.at(name);
+  node.incarnation = ++this->last_incarnation;
+  const agent::AgentIdentity identity{name, node.incarnation, this->now,
+                                      node.service};
+  node.core = std::make_unique<agent::AgentCore>(identity, node.limits,
+                                                 agent::MakeFullCharge());
+  node.core->OnConfig(this->config);
+  this->Perform(name, node.core->OnProbe(true, "boot", this->now));
+}
+
+void SessionWorld::AddEntry(const std::string& name) {
+  EntryNode& node = this->entries[name];
+  node.table =
+      std::make_unique<entry::EndpointTable>(entry::MakeAffinityRoute(1.25));
+  node.budget = std::make_unique<entry::RetryBudget>();
+  node.evidence =
+      std::make_unique<evidence::CrashEvidence>(kernel::Millis(600'000));
+}
+
+void SessionWorld::Publish(const std::string& text, std::uint64_t revision) {
+  auto parsed = config::ParseConfig(text, "session");
+  auto snapshot = std::make_shared<config::ConfigSnapshot>(
+      std::get<config::ConfigSnapshot>(parsed));
+  snapshot->revision = revision;
+  this->config = snapshot;
+  for (auto& [name, node] : this->agents) node.core->OnConfig(this->config);
+}
+
+void SessionWorld::Link(const std::string& entry, const std::string& agent) {
+  Wire wire;
+  wire.number = ++this->last_wire;
+  this->wires[{entry, agent}] = wire;
+  const AgentNode& node = this->agents.at(agent);
+  link::Hello hello;
+  hello.node = agent;
+  hello.incarnation = node.incarnation;
+  hello.service = node.service;
+  hello.revision = 1;
+  hello.clock_ms = node.core->ClockMillis(this->now);
+  hello.leaving = node.core->IsLeaving();
+  this->Write(fmt::format("link {} {} up", entry, agent));
+  EntryNode& holder = this->entries.at(entry);
+  holder.table->OnLinkUp(wire.number, hello, this->now);
+  this->Perform(agent, node.core->OnLinkUp(wire.number, this->now));
+  for (auto& [name, flow] : holder.flows) {
+    this->Perform(entry, name, flow->OnLinkUp(agent, this->now));
+  }
+  this->DeliverAll();
+}
+
+void SessionWorld::Cut(const std::string& entry, const std::string& agent) {
+  const auto found = this->wires.find({entry, agent});
+  if (found == this->wires.end()) return;
+  const std::uint64_t number = found->second.number;
+  this->wires.erase(found);
+  this->Write(fmt::format("link {} {} down", entry, agent));
+  const auto holder = this->entries.find(entry);
+  if (holder != this->entries.end()) {
+    holder->second.table->OnLinkDown(number, agent);
+    for (auto& [name, flow] : holder->second.flows) {
+      this->Perform(entry, name, flow->OnLinkDown(number, this->now));
+    }
+  }
+  AgentNode& node = this->agents.at(agent);
+  if (node.core) this->Perform(agent, node.core->OnLinkDown(number, this->now));
+  this->DeliverAll();
+}
+
+void SessionWorld::Hold(const std::string& entry, const std::string& agent) {
+  const auto found = this->wires.find({entry, agent});
+  if (found != this->wires.end()) found->second.held = true;
+}
+
+void SessionWorld::Release(const std::string& entry, const std::string& agent) {
+  const auto found = this->wires.find({entry, agent});
+  if (found == this->wires.end()) return;
+  found->second.held = false;
+  this->DeliverAll();
+}
+
+void SessionWorld::Kill(const std::string& agent) {
+  AgentNode& node = this->agents.at(agent);
+  this->Write("kill " + agent);
+  node.core.reset();
+  node.calls.clear();
+  std::vector<std::string> linked;
+  for (const auto& [key, wire] : this->wires) {
+    if (key.second == agent) linked.push_back(key.first);
+  }
+  for (const std::string& entry : linked) this->Cut(entry, agent);
+}
+
+void SessionWorld::Restart(const std::string& agent) { this->StartCore(agent); }
+
+void SessionWorld::KillEntry(const std::string& entry) {
+  this->Write("kill " + entry);
+  this->entries.erase(entry);
+  std::vector<std::string> linked;
+  for (const auto& [key, wire] : this->wires) {
+    if (key.first == entry) linked.push_back(key.second);
+  }
+  for (const std::string& agent : linked) this->Cut(entry, agent);
+}
+
+std::string SessionWorld::IssueKey(const std::string& agent,
+                                   const std::string& nonce) {
+  const AgentNode& node = this->agents.at(agent);
+  const std::uint64_t clock = node.core ? node.core->ClockMillis(this->now) : 0;
+  return agent::IdempotencyKey{agent, node.incarnation, clock, nonce}.Format();
+}
+
+entry::RequestFlow& SessionWorld::AddFlow(const std::string& name,
+                                          const std::string& entry,
+                                          entry::CallerRequest request) {
+  EntryNode& node = this->entries.at(entry);
+  const entry::FlowContext context{
+      *node.table, *node.budget, *node.evidence, {}};
+  auto flow = std::make_unique<entry::RequestFlow>(
+      context, name, std::move(request), this->seed);
+  return *(node.flows[name] = std::move(flow));
+}
+
+void SessionWorld::Request(const std::string& name, const std::string& entry,
+                           const std::string& profile, const std::string& body,
+                           const std::string& key, std::uint64_t deadline_ms) {
+  entry::CallerRequest request;
+  request.config = this->config;
+  request.profile = this->config->FindProfile(profile);
+  request.organisation = "org";
+  request.deadline_ms = deadline_ms;
+  request.reserved_tokens = 100;
+  request.key = key;
+  request.fingerprint = kernel::Digest(profile + body);
+  request.affinity = body;
+  request.method = "POST";
+  request.target = "/";
+  request.body = body;
+  this->callers[name].key = key;
+  this->Write(fmt::format("request {} at {}", name, entry));
+  entry::RequestFlow& flow = this->AddFlow(name, entry, std::move(request));
+  this->Perform(entry, name, flow.Start(this->now));
+  this->DeliverAll();
+}
+
+void SessionWorld::Resume(const std::string& name, const std::string& entry,
+                          const std::string& answer, std::uint64_t offset,
+                          const std::string& organisation) {
+  entry::CallerRequest request;
+  request.config = this->config;
+  request.profile = &this->config->profiles.begin()->second;
+  request.organisation = organisation;
+  request.deadline_ms = 10'000;
+  this->Write(fmt::format("resume {} at {} from {}", name, entry, offset));
+  // The trace names an answer as agent/request; the incarnation is that of the
+  // agent now.
+  const std::size_t slash = answer.find('/');
+  const std::string agent = answer.substr(0, slash);
+  const entry::AnswerName parsed{agent, this->agents.at(agent).incarnation,
+                                 answer.substr(slash + 1)};
+  entry::RequestFlow& flow = this->AddFlow(name, entry, std::move(request));
+  this->Perform(entry, name, flow.StartFrom(parsed, offset, this->now));
+  this->DeliverAll();
+}
+
+void SessionWorld::CallerGone(const std::string& request) {
+  for (auto& [entry, node] : this->entries) {
+    const auto flow = node.flows.find(request);
+    if (flow == node.flows.end()) continue;
+    this->Perform(entry, request, flow->second->OnCallerGone(this->now));
+  }
+  this->DeliverAll();
+}
+
+void SessionWorld::EngineHead(const std::string& agent,
+                              const std::string& stream, bool event_stream) {
+  const http::Headers headers = {{"content-type", event_stream
+                                                      ? "text/event-stream"
+                                                      : "application/json"}};
+  this->Perform(agent, this->agents.at(agent).core->OnCallHead(
+                           stream, 200, headers, this->now));
+  this->DeliverAll();
+}
+
+void SessionWorld::EngineData(const std::string& agent,
+                              const std::string& stream,
+                              const std::string& data) {
+  this->Perform(
+      agent, this->agents.at(agent).core->OnCallData(stream, data, this->now));
+  this->DeliverAll();
+}
+
+void SessionWorld::EngineEnd(const std::string& agent,
+                             const std::string& stream) {
+  AgentNode& node = this->agents.at(agent);
+  node.calls.erase(stream);
+  this->Perform(agent, node.core->OnCallEnd(stream, this->now));
+  this->DeliverAll();
+}
+
+void SessionWorld::EngineFail(const std::string& agent,
+                              const std::string& stream, kernel::ErrorCode code,
+                              http::SendState state) {
+  AgentNode& node = this->agents.at(agent);
+  if (state == http::SendState::kNotSent) {
+    // The endpoint never saw it.
+    --this->by_request[entry::RequestFlow::FlowIdOf(stream)];
+    if (!node.calls[stream].empty()) --this->by_key[node.calls[stream]];
+  }
+  node.calls.erase(stream);
+  const kernel::Error error{code, "read_body", "engine", ""};
+  this->Perform(agent,
+                node.core->OnCallFailed(stream, error, state, this->now));
+  this->DeliverAll();
+}
+
+void SessionWorld::Probe(const std::string& agent, bool up,
+                         const std::string& boot) {
+  this->Perform(agent,
+                this->agents.at(agent).core->OnProbe(up, boot, this->now));
+  this->DeliverAll();
+}
+
+void SessionWorld::Leave(const std::string& agent) {
+  this->Perform(agent, this->agents.at(agent).core->OnLeaving("stop requested",
+                                                              this->now));
+  this->DeliverAll();
+}
+
+void SessionWorld::Pass(std::int64_t millis) {
+  this->now += kernel::Millis(millis);
+  this->Write(fmt::format("time +{}", millis));
+  for (auto& [name, node] : this->agents) {
+    if (node.core) this->Perform(name, node.core->OnTick(this->now));
+  }
+  for (auto& [entry, node] : this->entries) {
+    for (auto& [name, flow] : node.flows) {
+      if (flow->IsDone() || flow->NextTimer() > this->now) continue;
+      this->Perform(entry, name, flow->OnTimer(this->now));
+    }
+  }
+  this->DeliverAll();
+}
+
+std::set<std::string> SessionWorld::OpenCalls(const std::string& agent) const {
+  std::set<std::string> open;
+  for (const auto& [stream, key] : this->agents.at(agent).calls)
+    open.insert(stream);
+  return open;
+}
+
+SessionWorld::Wire* SessionWorld::FindWire(std::uint64_t number, WireKey& key) {
+  for (auto& [wire_key, wire] : this->wires) {
+    if (wire.number != number) continue;
+    key = wire_key;
+    return &wire;
+  }
+  return nullptr;
+}
+
+void SessionWorld::Perform(const std::string& agent,
+                           agent::AgentActions actions) {
+  AgentNode& node = this->agents.at(agent);
+  for (agent::AgentAction& action : actions) {
+    if (auto* send = std::get_if<agent::SendMessage>(&action)) {
+      WireKey key;
+      Wire* wire = this->FindWire(send->link, key);
+      if (wire != nullptr) wire->to_entry.push_back(std::move(send->message));
+    }
+    if (auto* broadcast = std::get_if<agent::Broadcast>(&action)) {
+      for (auto& [key, wire] : this->wires) {
+        if (key.second == agent) wire.to_entry.push_back(broadcast->message);
+      }
+    }
+    if (auto* call = std::get_if<agent::StartCall>(&action)) {
+      this->Write(fmt::format("{}: call {} starts", agent, call->stream));
+      const std::string key = node.keys[call->stream];
+      node.calls[call->stream] = key;
+      ++this->by_request[entry::RequestFlow::FlowIdOf(call->stream)];
+      if (!key.empty()) ++this->by_key[key];
+    }
+    if (auto* call = std::get_if<agent::AbortCall>(&action)) {
+      this->Write(fmt::format("{}: call {} aborts", agent, call->stream));
+      node.calls.erase(call->stream);
+    }
+    if (auto* call = std::get_if<agent::PauseCall>(&action)) {
+      this->Write(fmt::format("{}: call {} pauses", agent, call->stream));
+    }
+    if (auto* call = std::get_if<agent::ResumeCall>(&action)) {
+      this->Write(fmt::format("{}: call {} resumes", agent, call->stream));
+    }
+    if (std::holds_alternative<agent::ProbeEndpoint>(action))
+      this->Write(agent + ": probe");
+    if (auto* report = std::get_if<agent::Report>(&action)) {
+      this->Write(
+          fmt::format("{}: BL{:04}", agent, static_cast<int>(report->event)));
+    }
+  }
+}
+
+void SessionWorld::Perform(const std::string& entry, const std::string& request,
+                           entry::FlowActions actions) {
+  CallerView& caller = this->callers[request];
+  for (entry::FlowAction& action : actions) {
+    if (auto* send = std::get_if<entry::SendToAgent>(&action)) {
+      WireKey key;
+      Wire* wire = this->FindWire(send->link, key);
+      if (wire != nullptr) wire->to_agent.push_back(std::move(send->message));
+    }
+    std::string told;
+    bool final = false;
+    if (auto* whole = std::get_if<entry::DeliverWhole>(&action)) {
+      caller.text += whole->response.body;
+      told = fmt::format("whole {} '{}'", whole->response.status,
+                         whole->response.body);
+      final = caller.whole = true;
+    }
+    if (auto* part = std::get_if<entry::DeliverData>(&action)) {
+      caller.text += part->data;
+      told = fmt::format("part '{}'", part->data);
+      const auto flow = this->entries.at(entry).flows.find(request);
+      this->Perform(entry, request,
+                    flow->second->OnCallerTook(part->end_offset, this->now));
+    }
+    if (std::holds_alternative<entry::DeliverHead>(action)) told = "head";
+    if (std::holds_alternative<entry::DeliverEnd>(action)) {
+      told = "end";
+      final = caller.whole = true;
+    }
+    if (auto* cut = std::get_if<entry::DeliverCut>(&action)) {
+      caller.outcome = link::OutcomeName(cut->problem.outcome);
+      told = fmt::format("cut {} {}", caller.outcome, cut->problem.reason);
+      final = caller.cut = true;
+    }
+    if (auto* problem = std::get_if<entry::DeliverProblem>(&action)) {
+      caller.outcome = link::OutcomeName(problem->problem.outcome);
+      told = fmt::format("problem {} {} {} at {}{}", problem->problem.status,
+                         caller.outcome, problem->problem.reason,
+                         problem->problem.step,
+                         problem->problem.retry_after_ms ? " retry" : "");
+      final = true;
+    }
+    if (!told.empty())
+      this->Write(fmt::format("  caller of {}: {}", request, told));
+    caller.final = caller.final || final;
+    caller.finals += final ? 1 : 0;
+  }
+}
+
+void SessionWorld::DeliverAll() {
+  bool moved = true;
+  while (moved) {
+    moved = false;
+    std::vector<WireKey> keys;
+    for (const auto& [key, wire] : this->wires) keys.push_back(key);
+    for (const WireKey& key : keys) {
+      const auto found = this->wires.find(key);
+      if (found == this->wires.end() || found->second.held) continue;
+      Wire& wire = found->second;
+      if (!wire.to_agent.empty()) {
+        link::Message message = std::move(wire.to_agent.front());
+        wire.to_agent.pop_front();
+        this->Deliver(key, std::move(message), true);
+        moved = true;
+      } else if (!wire.to_entry.empty()) {
+        link::Message message = std::move(wire.to_entry.front());
+        wire.to_entry.pop_front();
+        this->Deliver(key, std::move(message), false);
+        moved = true;
+      }
+    }
+  }
+}
+
+void SessionWorld::Deliver(const WireKey& key, link::Message message,
+                           bool to_agent) {
+  std::vector<link::Message> arriving = {message};
+  if (this->network) arriving = this->network(message);
+  for (link::Message& arrived : arriving) {
+    // What one message brings about can cut the link that the next would come
+    // by.
+    if (this->wires.count(key) == 0) return;
+    if (to_agent)
+      this->ToAgent(key, std::move(arrived));
+    else
+      this->ToEntry(key, std::move(arrived));
+  }
+}
+
+void SessionWorld::ToAgent(const WireKey& key, link::Message message) {
+  this->Write(
+      fmt::format("{} > {}: {}", key.first, key.second, Describe(message)));
+  AgentNode& node = this->agents.at(key.second);
+  if (const auto* submit = std::get_if<link::Submit>(&message)) {
+    node.keys[submit->request] = submit->key;
+  }
+  const std::uint64_t number = this->wires.at(key).number;
+  this->Perform(key.second,
+                node.core->OnMessage(number, std::move(message), this->now));
+}
+
+void SessionWorld::ToEntry(const WireKey& key, link::Message message) {
+  this->Write(
+      fmt::format("{} < {}: {}", key.first, key.second, Describe(message)));
+  const auto found = this->entries.find(key.first);
+  if (found == this->entries.end()) return;
+  EntryNode& node = found->second;
+  const std::uint64_t number = this->wires.at(key).number;
+  if (const auto* heartbeat = std::get_if<link::Heartbeat>(&message)) {
+    node.table->OnHeartbeat(number, key.second, *heartbeat, this->now);
+    return;
+  }
+  if (const auto* evidence = std::get_if<link::Evidence>(&message)) {
+    if (!node.evidence->Merge(*evidence, this->now)) return;
+    for (auto& [other, wire] : this->wires) {
+      if (other.first == key.first && other != key)
+        wire.to_agent.push_back(*evidence);
+    }
+    return;
+  }
+  for (auto& [name, flow] : node.flows) {
+    this->Perform(key.first, name, flow->OnMessage(number, message, this->now));
+  }
+}
+
+}  // namespace banyanlane::sessions
