Keep a forgotten key from running again under a longer lifetime

Cause: a key that had run and was forgotten at the end of its lifetime looked young again once a new revision raised key_lifetime_s; the ledger claimed it afresh (test never_claims_what_it_may_have_forgotten, seen failing). Excluded: clocks, since the key's age is measured by the one agent that it names. Change: for each profile the ledger keeps the latest issue time among keys it forgot and takes none as old as that. Result: before, the second claim was fresh; after, expired. At one lifetime no valid key is refused, since older keys expire first.

--- a/src/agent/internal/agent_core.cc
+++ b/src/agent/internal/agent_core.cc
@@ -35,6 +35,10 @@
   return static_cast<std::uint64_t>(profile.key_lifetime_s) * kMillisPerSecond;
 }
 
+ExecutionLedger::Work WorkOf(const link::Submit& submit) {
+  return {submit.profile, submit.organisation, submit.fingerprint};
+}
+
 std::int64_t CountTokens(std::string_view data) {
   std::int64_t count = 0;
   for (std::size_t at = data.find("data:"); at != std::string_view::npos;
@@ -174,9 +178,9 @@
     return false;
   }
   using LedgerClaim = ExecutionLedger::Claim;
-  const LedgerClaim claim = this->ledger.TryClaim(
-      *key, submit.organisation, submit.fingerprint, submit.request,
-      KeyLifetime(profile), this->ClockMillis(now));
+  const LedgerClaim claim =
+      this->ledger.TryClaim(*key, WorkOf(submit), submit.request,
+                            KeyLifetime(profile), this->ClockMillis(now));
   switch (claim) {
     case LedgerClaim::kFresh:
       return true;
@@ -221,8 +225,8 @@
     const auto key = IdempotencyKey::Parse(submit.key);
     const bool burnt =
         key && profile != nullptr &&
-        this->ledger.Burn(*key, submit.organisation, submit.fingerprint,
-                          KeyLifetime(*profile), this->ClockMillis(now));
+        this->ledger.Burn(*key, WorkOf(submit), KeyLifetime(*profile),
+                          this->ClockMillis(now));
     if (!burnt) outcome = Outcome::kUnknown;
   }
   this->RefuseSubmit(link, submit, reason, outcome);
--- a/src/agent/internal/execution_ledger.cc
+++ b/src/agent/internal/execution_ledger.cc
@@ -1,5 +1,7 @@
 #include "agent/internal/execution_ledger.h"
 
+#include <algorithm>
+
 namespace banyanlane::agent {
 
 ExecutionLedger::ExecutionLedger(std::string agent, std::uint64_t incarnation,
@@ -11,8 +13,7 @@
       most_answer_bytes(most_answer_bytes) {}
 
 ExecutionLedger::Claim ExecutionLedger::TryClaim(const IdempotencyKey& key,
-                                                 std::string_view organisation,
-                                                 std::string_view fingerprint,
+                                                 const Work& work,
                                                  std::string_view stream,
                                                  std::uint64_t lifetime_ms,
                                                  std::uint64_t clock_ms) {
@@ -22,8 +23,9 @@
   const auto found = this->entries.find(key.nonce);
   if (found != this->entries.end()) {
     const Entry& entry = found->second;
-    const bool same =
-        entry.organisation == organisation && entry.fingerprint == fingerprint;
+    const bool same = entry.work.profile == work.profile &&
+                      entry.work.organisation == work.organisation &&
+                      entry.work.fingerprint == work.fingerprint;
     if (!same) return Claim::kConflict;
     if (entry.state == Entry::State::kRunning) return Claim::kRunning;
     if (entry.state == Entry::State::kNotRun) return Claim::kNotRun;
@@ -34,10 +36,14 @@
   // may be forgotten.
   if (key.issued_ms > clock_ms || clock_ms - key.issued_ms >= lifetime_ms)
     return Claim::kExpired;
+  const auto forgotten = this->forgotten_through_ms.find(work.profile);
+  const bool may_be_forgotten = forgotten != this->forgotten_through_ms.end() &&
+                                key.issued_ms <= forgotten->second;
+  if (may_be_forgotten) return Claim::kExpired;
   if (this->entries.size() >= this->most_entries) return Claim::kFull;
   Entry entry;
-  entry.organisation = std::string(organisation);
-  entry.fingerprint = std::string(fingerprint);
+  entry.work = work;
+  entry.issued_ms = key.issued_ms;
   entry.stream = std::string(stream);
   entry.expires_ms = key.issued_ms + lifetime_ms;
   this->expiries.emplace(entry.expires_ms, key.nonce);
@@ -67,12 +73,9 @@
     found->second.state = Entry::State::kUnknown;
 }
 
-bool ExecutionLedger::Burn(const IdempotencyKey& key,
-                           std::string_view organisation,
-                           std::string_view fingerprint,
+bool ExecutionLedger::Burn(const IdempotencyKey& key, const Work& work,
                            std::uint64_t lifetime_ms, std::uint64_t clock_ms) {
-  const Claim claim =
-      this->TryClaim(key, organisation, fingerprint, "", lifetime_ms, clock_ms);
+  const Claim claim = this->TryClaim(key, work, "", lifetime_ms, clock_ms);
   if (claim == Claim::kFresh) this->MarkNotRun(key.nonce);
   return claim == Claim::kFresh || claim == Claim::kNotRun;
 }
@@ -95,6 +98,9 @@
       this->expiries.emplace(clock_ms + kRecheckMillis, nonce);
       continue;
     }
+    std::uint64_t& forgotten =
+        this->forgotten_through_ms[found->second.work.profile];
+    forgotten = std::max(forgotten, found->second.issued_ms);
     this->entries.erase(found);
   }
 }
--- a/src/agent/internal/execution_ledger.h
+++ b/src/agent/internal/execution_ledger.h
@@ -30,6 +30,13 @@
     kFull,      ///< No room to remember it, so it must not run.
   };
 
+  /// The work that a key is used for.
+  struct Work {
+    std::string profile;
+    std::string organisation;
+    std::string fingerprint;
+  };
+
   /// A stored result.
   struct Answer {
     std::uint64_t status = 0;
@@ -42,9 +49,9 @@
   struct Entry {
     enum class State { kRunning, kCompleted, kUnknown, kNotRun };
     State state = State::kRunning;
-    std::string organisation;
-    std::string fingerprint;
+    Work work;
     std::string stream;
+    std::uint64_t issued_ms = 0;
     std::uint64_t expires_ms = 0;
     Answer answer;
   };
@@ -55,9 +62,9 @@
   /// Claims `key` for `stream`, if it was never claimed.
   /// @param lifetime_ms how long after its issue the key can be used.
   /// @param clock_ms this agent's clock.
-  Claim TryClaim(const IdempotencyKey& key, std::string_view organisation,
-                 std::string_view fingerprint, std::string_view stream,
-                 std::uint64_t lifetime_ms, std::uint64_t clock_ms);
+  Claim TryClaim(const IdempotencyKey& key, const Work& work,
+                 std::string_view stream, std::uint64_t lifetime_ms,
+                 std::uint64_t clock_ms);
 
   /// Returns what is remembered of `nonce`, or null.
   const Entry* Find(const std::string& nonce) const;
@@ -69,9 +76,8 @@
   /// A caller is told that the work did not run: spends the key, since another
   /// copy of the request may still be on its way. @return false when the key is
   /// not one that this ledger can speak for, so that the outcome is unknown.
-  bool Burn(const IdempotencyKey& key, std::string_view organisation,
-            std::string_view fingerprint, std::uint64_t lifetime_ms,
-            std::uint64_t clock_ms);
+  bool Burn(const IdempotencyKey& key, const Work& work,
+            std::uint64_t lifetime_ms, std::uint64_t clock_ms);
   /// The work claimed under `nonce` was provably not sent: spends its key.
   void MarkNotRun(const std::string& nonce);
 
@@ -87,6 +93,10 @@
   std::size_t most_answer_bytes;
   std::unordered_map<std::string, Entry> entries;
   std::multimap<std::uint64_t, std::string> expiries;
+  /// For each profile, the latest issue time of a key that was forgotten. Keys
+  /// as old as that may have been used, even if a new revision gives them a
+  /// longer lifetime.
+  std::unordered_map<std::string, std::uint64_t> forgotten_through_ms;
 };
 
 }  // namespace banyanlane::agent
