--- /dev/null
+++ b/src/experts/internal/placement_planner.cc
@@ -0,0 +1,297 @@
+#include "experts/internal/placement_planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <optional>
+
+namespace banyanlane::experts {
+namespace {
+
+constexpr int kShareRounds = 24;
+/// Ranks within this of the mean are left as they are.
+constexpr double kCloseEnough = 1.01;
+constexpr std::size_t kLeastColdRanksTried = 6;
+constexpr std::size_t kColdRanksShare = 8;  ///< One rank in this many is tried.
+constexpr std::size_t kHotExpertsTried = 4;
+constexpr std::size_t kMostMovesPerLayer = 1'024;
+/// Moves are judged in batches of this many, since one alone seldom lowers the
+/// slowest rank.
+constexpr std::size_t kBatch = 8;
+
+/// Working state of one layer: who holds each expert, and each rank's time.
+class LayerState {
+ public:
+  LayerState(LayerPlacement& placement, const LayerLoad& load,
+             const RankSpeeds& speeds)
+      : placement(placement), load(load), speeds(speeds), holders(load.size()) {
+    for (std::size_t rank = 0; rank < placement.slots.size(); ++rank) {
+      for (std::size_t slot = 0; slot < placement.slots[rank].size(); ++slot) {
+        this->holders[placement.slots[rank][slot].expert].push_back(
+            {rank, slot});
+      }
+    }
+    this->times = RankTimes(placement, load, speeds);
+  }
+
+  struct Place {
+    std::size_t rank;
+    std::size_t slot;
+  };
+
+  const std::vector<double>& Times() const { return this->times; }
+  const std::vector<Place>& Holders(std::size_t expert) const {
+    return this->holders[expert];
+  }
+
+  double Slowest() const {
+    return *std::max_element(this->times.begin(), this->times.end());
+  }
+
+  bool Holds(std::size_t rank, std::size_t expert) const {
+    const auto& places = this->holders[expert];
+    return std::any_of(
+        places.begin(), places.end(),
+        [rank](const Place& place) { return place.rank == rank; });
+  }
+
+  /// Moves share of one expert between its replicas until its ranks are as even
+  /// as they can be.
+  void BalanceExpert(std::size_t expert) {
+    const auto& places = this->holders[expert];
+    if (places.size() < 2 || this->load[expert] <= 0) return;
+    // Without this expert, its ranks stand at these times; fills them up evenly
+    // from below.
+    double left = this->load[expert];
+    std::vector<std::pair<double, double>>
+        bases;  // Time without the expert, speed.
+    for (const Place& place : places) {
+      const double own = this->load[expert] * this->ReplicaAt(place).share;
+      bases.emplace_back(
+          this->times[place.rank] - own / this->speeds[place.rank],
+          this->speeds[place.rank]);
+    }
+    const double level = FillLevel(bases, left);
+    for (std::size_t i = 0; i < places.size(); ++i) {
+      const double amount =
+          std::max(0.0, level - bases[i].first) * bases[i].second;
+      this->ReplicaAt(places[i]).share = amount / this->load[expert];
+      this->times[places[i].rank] = bases[i].first + amount / bases[i].second;
+    }
+  }
+
+  void BalanceAll() {
+    for (int round = 0; round < kShareRounds; ++round) {
+      const double before = this->Slowest();
+      for (std::size_t expert = 0; expert < this->load.size(); ++expert) {
+        this->BalanceExpert(expert);
+      }
+      constexpr double kSettled = 0.9995;
+      if (this->Slowest() > before * kSettled) return;
+    }
+  }
+
+  /// Puts `expert` into a slot in place of a replica that has others.
+  void Replace(const Place& place, std::size_t expert) {
+    Replica& replica = this->ReplicaAt(place);
+    const std::size_t old = replica.expert;
+    const double old_load = this->load[old] * replica.share;
+    this->times[place.rank] -= old_load / this->speeds[place.rank];
+    auto& old_places = this->holders[old];
+    old_places.erase(std::remove_if(old_places.begin(), old_places.end(),
+                                    [&place](const Place& other) {
+                                      return other.rank == place.rank &&
+                                             other.slot == place.slot;
+                                    }),
+                     old_places.end());
+    // What it served goes to the first of the others until shares are balanced.
+    Replica& heir = this->ReplicaAt(old_places.front());
+    heir.share += replica.share;
+    this->times[old_places.front().rank] +=
+        old_load / this->speeds[old_places.front().rank];
+    replica = Replica{expert, 0.0};
+    this->holders[expert].push_back(place);
+    this->BalanceExpert(old);
+    this->BalanceExpert(expert);
+  }
+
+  Replica& ReplicaAt(const Place& place) {
+    return this->placement.slots[place.rank][place.slot];
+  }
+
+ private:
+  /// Returns the level up to which `amount` fills ranks that stand at their
+  /// bases.
+  static double FillLevel(std::vector<std::pair<double, double>> bases,
+                          double amount) {
+    std::sort(bases.begin(), bases.end());
+    double speed = 0;
+    double level = bases.front().first;
+    for (std::size_t i = 0; i < bases.size(); ++i) {
+      speed += bases[i].second;
+      const bool last = i + 1 == bases.size();
+      const double next =
+          last ? std::numeric_limits<double>::infinity() : bases[i + 1].first;
+      const double room = (next - level) * speed;
+      if (amount <= room) return level + amount / speed;
+      amount -= room;
+      level = next;
+    }
+    return level;
+  }
+
+  LayerPlacement& placement;
+  const LayerLoad& load;
+  const RankSpeeds& speeds;
+  std::vector<std::vector<Place>> holders;
+  std::vector<double> times;
+};
+
+/// Finds the slot of a cold rank that can best be given up: its expert has
+/// other replicas.
+std::optional<std::size_t> SlotToGiveUp(LayerState& state,
+                                        const LayerPlacement& placement,
+                                        const LayerLoad& load,
+                                        std::size_t rank) {
+  std::optional<std::size_t> best;
+  double least = std::numeric_limits<double>::infinity();
+  for (std::size_t slot = 0; slot < placement.slots[rank].size(); ++slot) {
+    const Replica& replica = placement.slots[rank][slot];
+    if (state.Holders(replica.expert).size() < 2) continue;
+    const double served = load[replica.expert] * replica.share;
+    if (served >= least) continue;
+    least = served;
+    best = slot;
+  }
+  return best;
+}
+
+/// Returns the experts that weigh most on `rank`, heaviest first.
+std::vector<std::size_t> HotExperts(const LayerPlacement& placement,
+                                    const LayerLoad& load, std::size_t rank) {
+  std::vector<Replica> replicas = placement.slots[rank];
+  std::sort(replicas.begin(), replicas.end(),
+            [&load](const Replica& left, const Replica& right) {
+              return load[left.expert] * left.share >
+                     load[right.expert] * right.share;
+            });
+  std::vector<std::size_t> experts;
+  for (const Replica& replica : replicas) experts.push_back(replica.expert);
+  if (experts.size() > kHotExpertsTried) experts.resize(kHotExpertsTried);
+  return experts;
+}
+
+/// Adds one replica of a hot expert of the slowest rank on a cold rank. @return
+/// the move, if any helps that rank.
+std::optional<Move> RelieveSlowest(LayerPlacement& placement,
+                                   const LayerLoad& load,
+                                   const RankSpeeds& speeds) {
+  LayerState state(placement, load, speeds);
+  const auto& times = state.Times();
+  const auto slowest = static_cast<std::size_t>(
+      std::max_element(times.begin(), times.end()) - times.begin());
+  std::vector<std::size_t> cold(times.size());
+  std::iota(cold.begin(), cold.end(), 0);
+  const std::size_t tried =
+      std::min(cold.size(),
+               std::max(kLeastColdRanksTried, cold.size() / kColdRanksShare));
+  std::partial_sort(cold.begin(),
+                    cold.begin() + static_cast<std::ptrdiff_t>(tried),
+                    cold.end(), [&times](std::size_t left, std::size_t right) {
+                      return times[left] < times[right];
+                    });
+  cold.resize(tried);
+  for (const std::size_t expert : HotExperts(placement, load, slowest)) {
+    for (const std::size_t rank : cold) {
+      if (rank == slowest || state.Holds(rank, expert)) continue;
+      const auto slot = SlotToGiveUp(state, placement, load, rank);
+      if (!slot) continue;
+      const LayerPlacement before = placement;
+      LayerState trial(placement, load, speeds);
+      const double slow_before = trial.Times()[slowest];
+      const double cold_before = trial.Times()[rank];
+      trial.Replace({rank, *slot}, expert);
+      const bool helps = trial.Times()[slowest] < slow_before &&
+                         trial.Times()[rank] < slow_before &&
+                         cold_before < slow_before &&
+                         trial.Slowest() <= slow_before;
+      if (helps) return Move{0, rank, *slot, expert};
+      placement = before;
+    }
+  }
+  return std::nullopt;
+}
+
+double SlowestUnder(const LayerPlacement& placement, const LayerLoad& load,
+                    const RankSpeeds& speeds) {
+  const auto times = RankTimes(placement, load, speeds);
+  return *std::max_element(times.begin(), times.end());
+}
+
+}  // namespace
+
+void PlacementPlanner::BalanceShares(LayerPlacement& placement,
+                                     const LayerLoad& load,
+                                     const RankSpeeds& speeds) {
+  LayerState(placement, load, speeds).BalanceAll();
+}
+
+Plan PlacementPlanner::Improve(const Placement& current,
+                               const GroupLoad& to_plan_on,
+                               const GroupLoad& to_judge_by,
+                               const RankSpeeds& speeds) const {
+  Plan plan;
+  plan.placement = current;
+  const double total_time = std::max(LeastStepTime(to_judge_by, speeds), 1e-9);
+  for (std::size_t layer = 0; layer < current.layers.size(); ++layer) {
+    this->ImproveLayer(layer, plan.placement.layers[layer], to_plan_on[layer],
+                       to_judge_by[layer], speeds, total_time, plan.moves);
+    // Shares move no weights, so they follow the best estimate there is: the
+    // mean of both.
+    LayerLoad mean = to_plan_on[layer];
+    for (std::size_t expert = 0; expert < mean.size(); ++expert) {
+      mean[expert] = (mean[expert] + to_judge_by[layer][expert]) / 2;
+    }
+    BalanceShares(plan.placement.layers[layer], mean, speeds);
+  }
+  return plan;
+}
+
+void PlacementPlanner::ImproveLayer(std::size_t layer,
+                                    LayerPlacement& placement,
+                                    const LayerLoad& to_plan_on,
+                                    const LayerLoad& to_judge_by,
+                                    const RankSpeeds& speeds, double total_time,
+                                    std::vector<Move>& moves) const {
+  BalanceShares(placement, to_plan_on, speeds);
+  const double total_speed = std::accumulate(speeds.begin(), speeds.end(), 0.0);
+  const double mean =
+      std::accumulate(to_plan_on.begin(), to_plan_on.end(), 0.0) / total_speed;
+  std::size_t made = 0;
+  while (made < kMostMovesPerLayer) {
+    LayerPlacement trial = placement;
+    std::vector<Move> batch;
+    while (batch.size() < kBatch &&
+           SlowestUnder(trial, to_plan_on, speeds) > mean * kCloseEnough) {
+      auto move = RelieveSlowest(trial, to_plan_on, speeds);
+      if (!move) break;
+      move->layer = layer;
+      batch.push_back(*move);
+    }
+    if (batch.empty()) return;
+    BalanceShares(trial, to_plan_on, speeds);
+    const double saved = SlowestUnder(placement, to_judge_by, speeds) -
+                         SlowestUnder(trial, to_judge_by, speeds);
+    const double saved_s = saved / total_time * this->economics.lifetime_s *
+                           this->economics.busy_share;
+    const double worth = saved_s * this->economics.skew_weight;
+    const double price = static_cast<double>(batch.size()) *
+                         this->economics.move_s * this->economics.move_weight;
+    if (worth <= price) return;
+    placement = std::move(trial);
+    moves.insert(moves.end(), batch.begin(), batch.end());
+    made += batch.size();
+  }
+}
+
+}  // namespace banyanlane::experts
