--- a/src/entry/entry_module.cc
+++ b/src/entry/entry_module.cc
@@ -15,7 +15,7 @@
 using kernel::Role;
 using kernel::SettingKind;
 
-constexpr double kAffinityBound = 1.25;
+constexpr double kAffinityBound = 2.0;
 
 /// The entry role: takes callers' requests and routes them to agents.
 class EntryModule : public kernel::IModule {
