Keep capacity open for work of high priority

Cause: when callers suddenly read all they reserved, long streams of low priority hold the capacity and important work waits past its deadline. Change: work of the lowest priority can use 0.8 of the token capacity, and the rest opens in steps up to the highest.

--- a/src/agent/internal/admission.cc
+++ b/src/agent/internal/admission.cc
@@ -1,6 +1,15 @@
 #include "agent/internal/admission.h"
 
 namespace banyanlane::agent {
+namespace {
+
+constexpr std::int64_t kHighestPriority = 9;
+/// Share of the capacity that work of the lowest priority can use; the rest
+/// opens step by step, so that work of high priority does not wait for long
+/// streams of the others to end.
+constexpr double kOpenToAll = 0.8;
+
+}  // namespace
 
 Admission::Verdict Admission::Add(const Claim& claim,
                                   std::optional<std::string>& displaced) {
@@ -70,7 +79,15 @@
   if (this->running.empty()) return true;
   if (claim.alone || !this->running_alone.empty()) return false;
   if (this->running.size() >= this->limits.slots) return false;
-  return this->charged + claim.tokens <= this->limits.token_capacity;
+  return this->charged + claim.tokens <= this->CapacityFor(claim.priority);
+}
+
+std::int64_t Admission::CapacityFor(std::int64_t priority) const {
+  const auto highest = static_cast<double>(kHighestPriority);
+  const double share =
+      kOpenToAll + (1.0 - kOpenToAll) * static_cast<double>(priority) / highest;
+  return static_cast<std::int64_t>(
+      share * static_cast<double>(this->limits.token_capacity));
 }
 
 void Admission::Run(const Claim& claim) {
--- a/src/agent/internal/admission.h
+++ b/src/agent/internal/admission.h
@@ -59,6 +59,8 @@
   using QueueKey = std::pair<std::int64_t, std::uint64_t>;
 
   bool Fits(const Claim& claim) const;
+  /// Returns the tokens that work of `priority` can use.
+  std::int64_t CapacityFor(std::int64_t priority) const;
   void Run(const Claim& claim);
 
   AdmissionLimits limits;
