--- a/bench/path_bench.cc
+++ b/bench/path_bench.cc
@@ -1,13 +1,11 @@
 #include <fmt/format.h>
 #include <poll.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <fstream>
 #include <mutex>
-#include <sstream>
 
 #include "bench.h"
+#include "proc_stat.h"
 #include "processes/fleet.h"
 
 namespace banyanlane::bench {
@@ -26,41 +24,6 @@
 resume_grace_ms = 0
 )";
 
-/// Processor seconds that a process has used.
-double CpuSeconds(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-  std::string text;
-  std::getline(file, text);
-  std::istringstream fields(text.substr(text.rfind(')') + 2));
-  std::string skipped;
-  for (int i = 0; i < 11; ++i) fields >> skipped;
-  double user = 0;
-  double system = 0;
-  fields >> user >> system;
-  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
-double MemoryMegabytes(pid_t pid, const std::string& field) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-  std::string line;
-  while (std::getline(file, line)) {
-    if (line.rfind(field, 0) == 0)
-      return std::stod(line.substr(field.size())) / 1024;
-  }
-  return 0;
-}
-
-/// Bytes that crossed the loopback interface.
-double LoopbackBytes() {
-  std::ifstream file("/proc/net/dev");
-  std::string line;
-  while (std::getline(file, line)) {
-    const std::size_t at = line.find("lo:");
-    if (at != std::string::npos) return std::stod(line.substr(at + 3));
-  }
-  return 0;
-}
-
 /// Notes when each part of a stream came.
 class TimedStream : public http::IHttpCallObserver {
  public:
--- a/tests/processes/fleet.cc
+++ b/tests/processes/fleet.cc
@@ -149,7 +149,7 @@
                         const std::string& agent_settings) {
   this->kinds[name] = kind;
   this->NewAddress("standin-" + name);
-  this->StartStandin(name);
+  if (kind != "none") this->StartStandin(name);
   this->NewAddress(name);
   this->NewAddress(name + "-admin");
   this->Settings(name, "[agent]\nlisten=" + this->Address(name) +
@@ -174,7 +174,8 @@
                      "--settings=" + this->directory + "/" + name + ".ini"});
 }
 
-void Fleet::AddEntry(const std::string& name) {
+void Fleet::AddEntry(const std::string& name,
+                     const std::string& entry_settings) {
   this->NewAddress(name);
   this->NewAddress(name + "-admin");
   std::string seeds;
@@ -184,7 +185,7 @@
                            "\n[link]\nseeds=" + seeds +
                            "\n[entry]\nlisten=" + this->Address(name) +
                            "\naddress=" + this->Address(name) +
-                           "\naddress_keep_ms=300\n");
+                           "\naddress_keep_ms=300\n" + entry_settings);
   this->StartEntry(name);
   this->instances[name] = R"("role":"entry","address":")" +
                           this->Address(name) + R"(","failure_domain":"d")";
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -51,7 +51,8 @@
                    const std::string& agent_settings = "");
   void StartStandin(const std::string& name);
   void StartAgent(const std::string& name);
-  void AddEntry(const std::string& name);
+  void AddEntry(const std::string& name,
+                const std::string& entry_settings = "");
   void StartEntry(const std::string& name);
   void PublishInstances();
   void SetState(const std::string& name, const std::string& state);
