Secure links with mutual TLS

Cause: whoever reached an agent's port could link to it, give work and change its configuration; a process with any name was taken (test link_only_to_peers_with_a_certificate_in_their_own_name, seen failing: two strangers were linked). Change: links use TLS on both ends with certificates of the operators' own authority, and the certificate's name must be the node's; plain text only where the settings say so outright.

--- a/build.sh
+++ b/build.sh
@@ -5,7 +5,7 @@
 
 packages=(g++ cmake ninja-build pkg-config libboost-dev libboost-system-dev libboost-coroutine-dev
   libboost-context-dev libwebsocketpp-dev nlohmann-json3-dev libabsl-dev libspdlog-dev
-  libcriterion-dev libssl-dev libxxhash-dev curl)
+  libcriterion-dev libssl-dev libxxhash-dev openssl util-linux curl)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' ||
--- a/src/link/internal/link_session.cc
+++ b/src/link/internal/link_session.cc
@@ -37,7 +37,8 @@
   this->transport->Close(reason);
 }
 
-void LinkSession::OnOpen(kernel::TimePoint now) {
+void LinkSession::OnOpen(std::string name, kernel::TimePoint now) {
+  this->certified_name = std::move(name);
   this->last_received = now;
   this->opened_at = now;
   this->Send(this->shared->hello());
@@ -73,12 +74,11 @@
     return;
   }
   if (hello.protocol != kProtocolVersion) {
-    kernel::LogEvent(
-        EventId::kLinkPeerRefused,
-        {{"peer", this->transport->Address()},
-         {"step", "handshake"},
-         {"reason", "protocol " + std::to_string(hello.protocol)}});
-    this->Close("protocol version");
+    this->RefusePeer("protocol " + std::to_string(hello.protocol));
+    return;
+  }
+  if (!this->certified_name.empty() && this->certified_name != hello.node) {
+    this->RefusePeer("its certificate names " + this->certified_name);
     return;
   }
   this->peer_hello = hello;
@@ -93,6 +93,14 @@
   }
 }
 
+void LinkSession::RefusePeer(const std::string& reason) {
+  kernel::LogEvent(EventId::kLinkPeerRefused,
+                   {{"peer", this->transport->Address()},
+                    {"step", "handshake"},
+                    {"reason", reason}});
+  this->Close("refused");
+}
+
 void LinkSession::RefuseFrame(const kernel::Error& error) {
   kernel::LogEvent(EventId::kLinkFrameRefused,
                    {{"peer", this->transport->Address()},
--- a/src/link/internal/link_session.h
+++ b/src/link/internal/link_session.h
@@ -43,7 +43,9 @@
   void Close(std::string_view reason) override;
 
   /// The transport is open: says Hello.
-  void OnOpen(kernel::TimePoint now);
+  /// @param certified_name name in the peer's certificate, or "" on a plain
+  /// link.
+  void OnOpen(std::string certified_name, kernel::TimePoint now);
   /// A frame came in.
   void OnFrame(std::string_view frame, kernel::TimePoint now);
   /// Time has passed: sends a heartbeat or closes a silent link.
@@ -55,12 +57,14 @@
 
  private:
   void OnHello(const Hello& hello, kernel::TimePoint now);
+  void RefusePeer(const std::string& reason);
   void RefuseFrame(const kernel::Error& error);
 
   const std::uint64_t number;
   std::shared_ptr<const SessionShared> shared;
   std::shared_ptr<ITransport> transport;
   Hello peer_hello;
+  std::string certified_name;
   kernel::TimePoint opened_at;
   kernel::TimePoint last_received;
   kernel::TimePoint last_heartbeat;
--- a/src/link/internal/ws_hub.cc
+++ b/src/link/internal/ws_hub.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "http/http_types.h"
+#include "link/internal/link_security.h"
 
 namespace banyanlane::link {
 namespace {
@@ -53,8 +54,9 @@
 
 }  // namespace
 
-WsHub::WsHub(const LinkLimits& limits)
-    : shared(std::make_shared<SessionShared>()) {
+template <typename Security>
+WsHub<Security>::WsHub(const LinkLimits& limits, Security security)
+    : security(std::move(security)), shared(std::make_shared<SessionShared>()) {
   this->shared->limits = limits;
   this->Prepare(this->server);
   this->Prepare(this->client);
@@ -62,40 +64,51 @@
   this->server.set_listen_backlog(kListenBacklog);
 }
 
-WsHub::~WsHub() { this->Stop(); }
+template <typename Security>
+WsHub<Security>::~WsHub() { this->Stop(); }
 
+template <typename Security>
 template <typename Endpoint>
-void WsHub::Prepare(Endpoint& endpoint) {
+void WsHub<Security>::Prepare(Endpoint& endpoint) {
   endpoint.clear_access_channels(websocketpp::log::alevel::all);
   endpoint.clear_error_channels(websocketpp::log::elevel::all);
   endpoint.init_asio(&this->io);
   endpoint.set_max_message_size(this->shared->limits.frame_bytes);
   endpoint.set_open_handshake_timeout(this->shared->limits.handshake.count());
   endpoint.set_close_handshake_timeout(kCloseHandshakeMillis);
+  this->security.Apply(endpoint);
   endpoint.set_tcp_post_init_handler([&endpoint](const Handle& handle) {
-    // Small frames follow one another; held back, each would wait for an acknowledgement.
+    // Small frames follow one another; held back, each would wait for an
+    // acknowledgement.
     boost::system::error_code ignored;
     endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(
         boost::asio::ip::tcp::no_delay(true), ignored);
   });
 }
 
-void WsHub::SetLocal(std::function<Hello()> hello,
-                     std::function<Heartbeat()> heartbeat) {
+template <typename Security>
+void WsHub<Security>::SetLocal(std::function<Hello()> hello,
+                               std::function<Heartbeat()> heartbeat) {
   this->shared->hello = std::move(hello);
   this->shared->heartbeat = std::move(heartbeat);
 }
 
-void WsHub::Subscribe(std::shared_ptr<ILinkObserver> observer) {
+template <typename Security>
+void WsHub<Security>::Subscribe(std::shared_ptr<ILinkObserver> observer) {
   this->shared->observers.push_back(std::move(observer));
 }
 
+template <typename Security>
 template <typename Endpoint>
-void WsHub::Bind(Endpoint& /*endpoint*/,
-                 const typename Endpoint::connection_ptr& connection,
-                 const std::shared_ptr<LinkSession>& session) {
+void WsHub<Security>::Bind(Endpoint& /*endpoint*/,
+                           const typename Endpoint::connection_ptr& connection,
+                           const std::shared_ptr<LinkSession>& session) {
   connection->set_open_handler(
-      [session](const Handle&) { session->OnOpen(kernel::Clock::now()); });
+      [this, session, weak = std::weak_ptr(connection)](const Handle&) {
+        const auto open = weak.lock();
+        if (!open) return;
+        session->OnOpen(this->security.PeerName(*open), kernel::Clock::now());
+      });
   connection->set_message_handler(
       [session](const Handle&, const typename Endpoint::message_ptr& message) {
         session->OnFrame(message->get_payload(), kernel::Clock::now());
@@ -108,7 +121,9 @@
   connection->set_fail_handler(ended);
 }
 
-kernel::Result<std::uint16_t> WsHub::Listen(const std::string& address) {
+template <typename Security>
+kernel::Result<std::uint16_t> WsHub<Security>::Listen(
+    const std::string& address) {
   const auto parsed = http::ParseHostPort(address);
   if (const kernel::Error* error = kernel::ErrorOf(parsed)) return *error;
   const auto& host_port = std::get<0>(parsed);
@@ -140,7 +155,8 @@
   return this->server.get_local_endpoint(ignored).port();
 }
 
-void WsHub::SetTargets(const std::vector<std::string>& addresses) {
+template <typename Security>
+void WsHub<Security>::SetTargets(const std::vector<std::string>& addresses) {
   std::vector<std::shared_ptr<LinkSession>> dropped;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -156,7 +172,8 @@
   for (const auto& session : dropped) session->Close("no longer wanted");
 }
 
-std::vector<LinkPtr> WsHub::Links() const {
+template <typename Security>
+std::vector<LinkPtr> WsHub<Security>::Links() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   std::vector<LinkPtr> links;
   for (const auto& session : this->sessions) {
@@ -165,17 +182,20 @@
   return links;
 }
 
-void WsHub::Start() {
+template <typename Security>
+void WsHub<Security>::Start() {
   this->ScheduleTick();
   this->thread = std::thread([this] { this->io.run(); });
 }
 
-void WsHub::Stop() {
+template <typename Security>
+void WsHub<Security>::Stop() {
   this->io.stop();
   if (this->thread.joinable()) this->thread.join();
 }
 
-void WsHub::ScheduleTick() {
+template <typename Security>
+void WsHub<Security>::ScheduleTick() {
   this->tick_timer.expires_after(kTickPeriod);
   this->tick_timer.async_wait([this](const boost::system::error_code& failure) {
     if (failure) return;
@@ -184,7 +204,8 @@
   });
 }
 
-void WsHub::Tick(kernel::TimePoint now) {
+template <typename Security>
+void WsHub<Security>::Tick(kernel::TimePoint now) {
   std::vector<std::shared_ptr<LinkSession>> all;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -194,7 +215,8 @@
   this->DialDueTargets(now);
 }
 
-void WsHub::DialDueTargets(kernel::TimePoint now) {
+template <typename Security>
+void WsHub<Security>::DialDueTargets(kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   for (auto& [address, target] : this->targets) {
     if (!target.session && now >= target.next_dial)
@@ -202,13 +224,14 @@
   }
 }
 
-void WsHub::Dial(const std::string& address, Target& target,
-                 kernel::TimePoint now) {
+template <typename Security>
+void WsHub<Security>::Dial(const std::string& address, Target& target,
+                           kernel::TimePoint now) {
   target.backoff = this->NextBackoff(target.backoff);
   target.next_dial = now + target.backoff;
   websocketpp::lib::error_code failure;
-  const auto connection =
-      this->client.get_connection("ws://" + address + "/link", failure);
+  const auto connection = this->client.get_connection(
+      Security::kScheme + address + "/link", failure);
   if (failure) return;
   auto transport =
       std::make_shared<WsTransport<Client>>(this->io, connection, address);
@@ -220,7 +243,8 @@
   this->client.connect(connection);
 }
 
-void WsHub::Forget(const std::shared_ptr<LinkSession>& session) {
+template <typename Security>
+void WsHub<Security>::Forget(const std::shared_ptr<LinkSession>& session) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->sessions.erase(
       std::remove(this->sessions.begin(), this->sessions.end(), session),
@@ -232,7 +256,8 @@
   }
 }
 
-kernel::Millis WsHub::NextBackoff(kernel::Millis previous) {
+template <typename Security>
+kernel::Millis WsHub<Security>::NextBackoff(kernel::Millis previous) {
   const LinkLimits& limits = this->shared->limits;
   const auto highest =
       std::min(limits.reconnect_highest,
@@ -242,4 +267,7 @@
   return kernel::Millis(jitter(this->random));
 }
 
+template class WsHub<PlainSecurity>;
+template class WsHub<TlsSecurity>;
+
 }  // namespace banyanlane::link
--- a/src/link/internal/ws_hub.h
+++ b/src/link/internal/ws_hub.h
@@ -10,8 +10,6 @@
 #include <thread>
 #include <vector>
 #include <websocketpp/client.hpp>
-#include <websocketpp/config/asio_no_tls.hpp>
-#include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
 #include "link/internal/link_session.h"
@@ -19,9 +17,12 @@
 namespace banyanlane::link {
 
 /// ILinkHub on websocketpp. One thread runs all links of the process.
+/// @tparam Security the configurations of websocketpp, and what secures a
+/// connection.
+template <typename Security>
 class WsHub : public ILinkHub {
  public:
-  explicit WsHub(const LinkLimits& limits);
+  WsHub(const LinkLimits& limits, Security security);
   ~WsHub() override;
 
   void SetLocal(std::function<Hello()> hello,
@@ -34,8 +35,8 @@
   void Stop() override;
 
  private:
-  using Server = websocketpp::server<websocketpp::config::asio>;
-  using Client = websocketpp::client<websocketpp::config::asio_client>;
+  using Server = websocketpp::server<typename Security::ServerConfig>;
+  using Client = websocketpp::client<typename Security::ClientConfig>;
   using Handle = websocketpp::connection_hdl;
 
   /// A peer this process keeps a link to.
@@ -63,6 +64,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{
       io.get_executor()};
   boost::asio::steady_timer tick_timer{io};
+  Security security;
   std::shared_ptr<SessionShared> shared;
   Server server;
   Client client;
--- a/src/link/link_module.cc
+++ b/src/link/link_module.cc
@@ -1,6 +1,8 @@
 #include <memory>
+#include <stdexcept>
 
 #include "kernel/module_registry.h"
+#include "link/internal/link_security.h"
 #include "link/internal/ws_hub.h"
 
 namespace banyanlane::link {
@@ -9,6 +11,24 @@
 using kernel::Role;
 using kernel::SettingKind;
 
+/// Makes a hub that is secured as the settings say.
+/// @throws std::runtime_error when they name no usable certificates.
+std::shared_ptr<ILinkHub> MakeHub(const LinkLimits& limits,
+                                  const kernel::Settings& settings) {
+  if (settings.Boolean("tls", "plain_links")) {
+    return std::make_shared<WsHub<PlainSecurity>>(limits, PlainSecurity{});
+  }
+  auto security = TlsSecurity::Load({settings.Text("tls", "certificate"),
+                                     settings.Text("tls", "key"),
+                                     settings.Text("tls", "authority")});
+  if (const kernel::Error* error = kernel::ErrorOf(security)) {
+    throw std::runtime_error(kernel::Describe(*error) +
+                             " (or set plain_links = true in [tls])");
+  }
+  return std::make_shared<WsHub<TlsSecurity>>(
+      limits, std::get<TlsSecurity>(std::move(security)));
+}
+
 /// Exports ILinkHub and runs its thread.
 class LinkModule : public kernel::IModule {
  public:
@@ -18,7 +38,7 @@
         kernel::Millis(context.settings().Integer("link", "heartbeat_ms"));
     limits.misses =
         static_cast<int>(context.settings().Integer("link", "misses"));
-    this->hub = std::make_shared<WsHub>(limits);
+    this->hub = MakeHub(limits, context.settings());
     context.Export<ILinkHub>(this->hub);
   }
   void Resolve(kernel::ModuleContext& /*context*/) override {}
@@ -36,7 +56,15 @@
      {{"link", "heartbeat_ms", SettingKind::kInteger, "1000", false, 10, 60'000,
        "Longest time without a frame to a peer."},
       {"link", "misses", SettingKind::kInteger, "3", false, 2, 20,
-       "Heartbeats missed before a link counts as silent."}},
+       "Heartbeats missed before a link counts as silent."},
+      {"tls", "certificate", SettingKind::kText, "", false, 0, 0,
+       "File with this node's certificate; its common name is the node's id."},
+      {"tls", "key", SettingKind::kText, "", false, 0, 0,
+       "File with its private key."},
+      {"tls", "authority", SettingKind::kText, "", false, 0, 0,
+       "File with the certificate that signs all nodes' certificates."},
+      {"tls", "plain_links", SettingKind::kBoolean, "false", false, 0, 0,
+       "Links in plain text, without proof of who the peer is."}},
      [] { return std::make_unique<LinkModule>(); }});
 
 }  // namespace
--- a/tests/processes/fleet.cc
+++ b/tests/processes/fleet.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -22,6 +23,11 @@
 constexpr kernel::Millis kAskTimeout{25'000};
 constexpr int kPollMillis = 10;
 
+void RunCommand(const std::string& command) {
+  const int status = std::system((command + " >/dev/null 2>&1").c_str());
+  if (status != 0) throw std::runtime_error("failed: " + command);
+}
+
 std::string Binary(const std::string& name) {
   return std::string(BANYANLANE_BINARY_DIR) + "/" + name;
 }
@@ -120,11 +126,47 @@
   std::ofstream(path) << "[node]\nid=" << name << "\nfailure_domain=d"
                       << this->pids.size() % 3
                       << "\nlog_level=debug\n[admin]\naddress="
-                      << this->addresses.at(name + "-admin") << "\n"
-                      << text;
+                      << this->addresses.at(name + "-admin")
+                      << "\n"
+                      << this->TlsSettings(name) << text;
   return path;
 }
 
+void Fleet::SecureLinks() {
+  this->secured = true;
+  this->MakeAuthority("authority");
+}
+
+void Fleet::MakeAuthority(const std::string& authority) {
+  RunCommand(fmt::format(
+      "openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN={0} "
+      "-keyout {1}/{0}.key -out {1}/{0}.pem",
+      authority, this->directory));
+}
+
+void Fleet::Certify(const std::string& name, const std::string& common_name,
+                    const std::string& authority) {
+  if (!std::filesystem::exists(this->PathOf(authority + ".pem")))
+    this->MakeAuthority(authority);
+  RunCommand(fmt::format(
+      "openssl req -newkey rsa:2048 -nodes -subj /CN={1} -keyout {2}/{0}.key "
+      "-out {2}/{0}.csr",
+      name, common_name, this->directory));
+  RunCommand(
+      fmt::format("openssl x509 -req -days 2 -in {1}/{0}.csr -CA {1}/{2}.pem "
+                  "-CAkey {1}/{2}.key -CAcreateserial -out {1}/{0}.pem",
+                  name, this->directory, authority));
+}
+
+std::string Fleet::TlsSettings(const std::string& name) {
+  if (!this->secured) return "[tls]\nplain_links=true\n";
+  if (!std::filesystem::exists(this->PathOf(name + ".pem")))
+    this->Certify(name, name);
+  return "[tls]\ncertificate=" + this->PathOf(name + ".pem") +
+         "\nkey=" + this->PathOf(name + ".key") +
+         "\nauthority=" + this->PathOf("authority.pem") + "\n";
+}
+
 void Fleet::StartPlatform(const std::string& config) {
   this->NewAddress("platform");
   this->Spawn("platform", {Binary("standin"), "platform",
@@ -280,6 +322,11 @@
   return this->Page(this->Address(name + "-admin"), target);
 }
 
+std::string Fleet::Log(const std::string& name) const {
+  std::ifstream file(this->directory + "/" + name + ".log");
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
 std::string Fleet::Executions(const std::string& endpoint) {
   return this->Page(this->Address("standin-" + endpoint),
                     "/control/executions");
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -80,6 +80,8 @@
   /// Returns a page of a process's admin or control interface.
   std::string Page(const std::string& address, const std::string& target);
   std::string AdminPage(const std::string& name, const std::string& target);
+  /// Returns what a process has logged.
+  std::string Log(const std::string& name) const;
   std::string Executions(const std::string& endpoint);
 
   /// Waits until `entry` can route to `service` endpoints: `count` of them.
@@ -93,9 +95,21 @@
   static http::HttpRequest Close(const std::string& key,
                                  const std::string& body);
 
+  /// Links are secured from now on: makes an authority, and certificates for
+  /// the nodes added.
+  void SecureLinks();
+  /// Gives `name` a certificate of `authority` that names `common_name`.
+  void Certify(const std::string& name, const std::string& common_name,
+               const std::string& authority = "authority");
+
   int token_millis = 5;  ///< Between tokens of the engines started from now on.
 
  private:
+  void MakeAuthority(const std::string& authority);
+  std::string PathOf(const std::string& file) const {
+    return this->directory + "/" + file;
+  }
+  std::string TlsSettings(const std::string& name);
   std::string NewAddress(const std::string& name);
   void Spawn(const std::string& name, std::vector<std::string> words);
   std::string Settings(const std::string& name, const std::string& text);
@@ -103,6 +117,7 @@
   std::string ip;
   std::string directory;
   int next_port = 7000;
+  bool secured = false;
   std::map<std::string, std::string> addresses;
   std::map<std::string, pid_t> pids;
   std::map<std::string, std::string> kinds;
--- a/tests/processes/process_test.cc
+++ b/tests/processes/process_test.cc
@@ -360,6 +360,32 @@
   cr_assert_eq(stats["tokens"], 0);
 }
 
+Test(processes, link_only_to_peers_with_a_certificate_in_their_own_name) {
+  Fleet fleet;
+  fleet.SecureLinks();
+  fleet.Certify("m2", "m1");
+  fleet.Certify("m3", "m3", "stranger");
+  fleet.StartPlatform(kConfig);
+  for (const char* name : {"m1", "m2", "m3"})
+    fleet.AddEndpoint(name, "engine", "model");
+  fleet.AddEntry("e1");
+  fleet.PublishInstances();
+  fleet.AwaitEndpoints("e1", 1);
+  cr_assert_eq(fleet.Ask("e1", Fleet::Chat("x", 2, false)).status, 200);
+  const std::string status = fleet.AdminPage("e1", "/status");
+  cr_assert_neq(status.find("m1 service"), std::string::npos);
+  // What reaches the others is refused each time they are dialled.
+  const auto refused = [&] {
+    return fleet.Log("e1").find("certificate names m1");
+  };
+  cr_assert(Fleet::Await([&] { return refused() != std::string::npos; }));
+  cr_assert_eq(status.find("m3 service"), std::string::npos);
+  cr_assert_neq(fleet.AdminPage("m2", "/status").find("revision=0\n"),
+                std::string::npos);
+  cr_assert_neq(fleet.AdminPage("m3", "/status").find("revision=0\n"),
+                std::string::npos);
+}
+
 Test(processes, cancel_the_engines_work_when_its_caller_goes) {
   Fleet fleet;
   std::string hasty = kConfig;
