Wait for each refusal before the next publication in a test

Excluded: a lost refusal; the audit trail named the older one each time. Change: waits for the refusal, publishes the older one, and now also waits until that is recorded as superseded, which was not checked before.

--- a/tests/processes/fleet.cc
+++ b/tests/processes/fleet.cc
@@ -126,8 +126,7 @@
   std::ofstream(path) << "[node]\nid=" << name << "\nfailure_domain=d"
                       << this->pids.size() % 3
                       << "\nlog_level=debug\n[admin]\naddress="
-                      << this->addresses.at(name + "-admin")
-                      << "\n"
+                      << this->addresses.at(name + "-admin") << "\n"
                       << this->TlsSettings(name) << text;
   return path;
 }
--- a/tests/processes/process_test.cc
+++ b/tests/processes/process_test.cc
@@ -191,11 +191,15 @@
   cr_assert(in_force("2"));
   cr_assert_eq(fleet.Ask("e1", Fleet::Chat("x", 1, false)).status, 404);
   fleet.Publish("[profile:chat]\nclass = nonsense\n");
-  fleet.Publish(kConfig, 1);
   cr_assert(Fleet::Await([&] {
     return fleet.AdminPage("e1", "/audit").find("config_refused") !=
            std::string::npos;
   }));
+  fleet.Publish(kConfig, 1);
+  cr_assert(Fleet::Await([&] {
+    return fleet.AdminPage("e1", "/audit").find("config_superseded") !=
+           std::string::npos;
+  }));
   cr_assert(in_force("2"));
   fleet.Publish(kConfig, 9);
   cr_assert(in_force("9"));
