Refuse damaged frames that name impossible lengths

Cause: a damaged frame could end the process: the decoder throws for an array longer than any memory even when asked not to (test codec survives_any_damage, seen crashing at the first such frame). Excluded: the fields' own checks. Change: what the decoder throws becomes a malformed frame, which closes that link alone.

--- a/bench/experts_bench.cc
+++ b/bench/experts_bench.cc
@@ -66,7 +66,7 @@
   GroupLoad counted = load;
   for (LayerLoad& layer : counted) {
     for (double& value : layer) {
-      std::poisson_distribution<long> tokens(value * kReportSeconds);
+      std::poisson_distribution<std::int64_t> tokens(value * kReportSeconds);
       value = static_cast<double>(tokens(random)) / kReportSeconds;
     }
   }
--- /dev/null
+++ b/src/entry/tests/retry_budget_test.cc
@@ -0,0 +1,74 @@
+#include "entry/internal/retry_budget.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <set>
+
+#include "entry/internal/address_book.h"
+#include "entry/internal/organisation_limits.h"
+
+namespace banyanlane::entry {
+
+Test(retry_budget, allows_a_share_of_first_attempts) {
+  config::Profile profile;
+  profile.name = "chat";
+  profile.retry_budget_percent = 10;
+  RetryBudget budget;
+  int retries = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    budget.OnFirstAttempt(profile, "org");
+    while (budget.TakeRetry(profile, "org")) ++retries;
+  }
+  // A tenth of the first attempts, and the two that each kind begins with.
+  cr_assert_eq(retries, 102);
+  cr_assert(budget.TakeRetry(profile, "other"),
+            "organisations do not share a budget");
+  profile.retry_budget_percent = 0;
+  cr_assert_not(budget.TakeRetry(profile, "third"));
+}
+
+Test(organisation_limits, gives_each_entry_its_share) {
+  config::Profile profile;
+  profile.name = "chat";
+  profile.organisation_concurrency = 10;
+  OrganisationLimits limits;
+  int taken = 0;
+  while (limits.Acquire(profile, "org", 3)) ++taken;
+  cr_assert_eq(taken, 4);
+  cr_assert(limits.Acquire(profile, "other", 3));
+  limits.Release(profile, "org");
+  cr_assert(limits.Acquire(profile, "org", 3));
+  cr_assert_not(limits.Acquire(profile, "org", 3));
+}
+
+Test(address_book, answers_alike_everywhere_and_leaves_out_who_leaves) {
+  auto list = std::make_shared<membership::InstanceList>();
+  for (int i = 0; i < 9; ++i) {
+    const std::string id = "e" + std::to_string(i);
+    list->instances.push_back({id, membership::InstanceRole::kEntry,
+                               membership::InstanceState::kLive, id,
+                               "d" + std::to_string(i % 3), ""});
+  }
+  const AddressBook first("e0", "e0", 3, kernel::Millis(1));
+  const AddressBook second("e5", "e5", 3, kernel::Millis(1));
+  const auto answer = first.Answer(list, "org", false).addresses;
+  cr_assert(answer == second.Answer(list, "org", false).addresses);
+  std::set<std::string> domains;
+  for (const std::string& address : answer) {
+    domains.insert(std::to_string((address[1] - '0') % 3));
+  }
+  cr_assert_eq(domains.size(), 3);
+  for (auto& instance : list->instances) {
+    if (instance.id == answer[0])
+      instance.state = membership::InstanceState::kLeaving;
+  }
+  const auto without = first.Answer(list, "org", false).addresses;
+  cr_assert(std::find(without.begin(), without.end(), answer[0]) ==
+            without.end());
+  const auto stopping = first.Answer(list, "any", true).addresses;
+  cr_assert(std::find(stopping.begin(), stopping.end(), "e0") ==
+            stopping.end());
+}
+
+}  // namespace banyanlane::entry
--- a/src/experts/internal/placement_planner.cc
+++ b/src/experts/internal/placement_planner.cc
@@ -176,6 +176,7 @@
                      load[right.expert] * right.share;
             });
   std::vector<std::size_t> experts;
+  experts.reserve(replicas.size());
   for (const Replica& replica : replicas) experts.push_back(replica.expert);
   if (experts.size() > kHotExpertsTried) experts.resize(kHotExpertsTried);
   return experts;
--- a/src/experts/internal/rank_switch.cc
+++ b/src/experts/internal/rank_switch.cc
@@ -78,7 +78,7 @@
   if (!asked || reply.committed) return {};
   this->without_commit.insert(from);
   if (this->without_commit.size() + 1 < this->ranks) return {};
-  const SwitchSends sends = this->TellAll(SettleSwitch{*this->pending, false});
+  SwitchSends sends = this->TellAll(SettleSwitch{*this->pending, false});
   this->Drop();
   return sends;
 }
--- a/src/link/internal/codec.cc
+++ b/src/link/internal/codec.cc
@@ -1,6 +1,8 @@
 #include "link/codec.h"
 
+#include <new>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 #include "kernel/enum_names.h"
 
@@ -208,14 +210,21 @@
 }
 
 kernel::Result<Message> Decode(std::string_view frame) {
-  json array = json::from_cbor(frame.begin(), frame.end(), true, false);
-  if (!array.is_array() || array.empty() || !array[0].is_number_unsigned()) {
-    return Malformed("not a numbered array");
-  }
   try {
+    json array = json::from_cbor(frame.begin(), frame.end());
+    const bool numbered =
+        array.is_array() && !array.empty() && array[0].is_number_unsigned();
+    if (!numbered) return Malformed("not a numbered array");
     return DecodeAs(array[0].get<std::uint64_t>(), array);
   } catch (const MalformedFrame& malformed) {
     return Malformed(malformed.detail);
+  } catch (const json::exception& failure) {
+    return Malformed(failure.what());
+  } catch (const std::length_error& failure) {
+    // A length in the frame that no memory could hold.
+    return Malformed(failure.what());
+  } catch (const std::bad_alloc& failure) {
+    return Malformed(failure.what());
   }
 }
 
--- a/tests/processes/process_test.cc
+++ b/tests/processes/process_test.cc
@@ -390,6 +390,78 @@
                 std::string::npos);
 }
 
+Test(processes, try_elsewhere_when_an_engine_goes_silent_before_its_answer) {
+  Fleet fleet;
+  std::string impatient = kConfig;
+  impatient.replace(impatient.find("resume_grace_ms"), 0,
+                    "attempt_timeout_ms = 400\n");
+  fleet.StartPlatform(impatient);
+  fleet.AddEndpoint("m1", "engine", "model");
+  fleet.AddEndpoint("m2", "engine", "model");
+  fleet.AddEntry("e1");
+  fleet.PublishInstances();
+  fleet.AwaitEndpoints("e1", 2);
+  fleet.Signal("standin-m1", SIGSTOP);
+  for (int i = 0; i < 4; ++i) {
+    const auto answer =
+        fleet.Ask("e1", Fleet::Chat("x" + std::to_string(i), 3, false));
+    cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+  }
+}
+
+Test(processes, tell_a_cut_from_a_whole_answer) {
+  Fleet fleet;
+  StartUsual(fleet, 1);
+  const auto streamed = fleet.Begin("e1", Fleet::Chat("CUT", 40, true));
+  cr_assert(Fleet::Await([&] { return streamed->over(); }));
+  cr_assert_not(streamed->whole());
+  cr_assert_neq(streamed->text().find("event: error"), std::string::npos);
+  const auto whole = fleet.Ask("e1", Fleet::Chat("CUT", 40, false));
+  cr_assert_eq(whole.status, 502, "%s", whole.body.c_str());
+  cr_assert_eq(Problem(whole)["outcome"], "unknown");
+}
+
+Test(processes, hold_the_engine_back_for_a_caller_who_does_not_read) {
+  Fleet fleet;
+  std::string narrow = kConfig;
+  narrow.replace(narrow.find("resume_grace_ms"), 0,
+                 "unread_window_bytes = 1024\n");
+  fleet.StartPlatform(narrow);
+  fleet.AddEndpoint("m1", "engine", "model");
+  fleet.AddEntry("e1");
+  fleet.PublishInstances();
+  fleet.AwaitEndpoints("e1", 1);
+  const auto answer =
+      fleet.Begin("e1", Fleet::Chat(std::string(2'000, 'x'), 3'000, true));
+  cr_assert(Fleet::Await([&] { return !answer->text().empty(); }));
+  // The entry's process stands still: nothing takes what the engine makes.
+  fleet.Signal("e1", SIGSTOP);
+  const auto tokens = [&] {
+    return json::parse(fleet.Page(fleet.Address("standin-m1"),
+                                  "/control/stats"))["tokens"]
+        .get<int>();
+  };
+  int before = -1;
+  int repeats = 0;
+  cr_assert(Fleet::Await([&] {
+    const int now = tokens();
+    repeats = now == before ? repeats + 1 : 0;
+    before = now;
+    return repeats > 30;
+  }));
+  cr_assert_lt(before, 3'000);
+  fleet.Signal("e1", SIGCONT);
+  cr_assert(Fleet::Await([&] { return tokens() > before; }));
+}
+
+Test(processes, stop_at_once_when_there_is_nothing_to_wait_for) {
+  Fleet fleet;
+  StartUsual(fleet, 1);
+  for (const char* name : {"m1", "t1", "e1", "e2"}) fleet.Signal(name, SIGTERM);
+  for (const char* name : {"m1", "t1", "e1", "e2"})
+    cr_assert_eq(fleet.Wait(name), 0);
+}
+
 Test(processes, cancel_the_engines_work_when_its_caller_goes) {
   Fleet fleet;
   std::string hasty = kConfig;
