Bound what an entry remembers, and publish more metrics

Excluded: organisation limits, which go with their last request. Change: once a minute budgets at rest and expired evidence are dropped; gauges and counters for requests in flight, links, attempts by outcome and reason, and the endpoint's state.

--- a/src/agent/agent_module.cc
+++ b/src/agent/agent_module.cc
@@ -19,6 +19,7 @@
 using kernel::SettingKind;
 
 constexpr kernel::Millis kTickPeriod{50};
+constexpr kernel::Millis kMetricsPeriod{1'000};
 constexpr double kChargeQuantile = 0.9;
 
 /// The agent role: the only path to one endpoint.
@@ -75,6 +76,10 @@
                          [service = this->service](kernel::TimePoint now) {
                            service->OnTick(now);
                          });
+    this->runtime->Every(kMetricsPeriod,
+                         [service = this->service](kernel::TimePoint /*now*/) {
+                           service->PublishMetrics();
+                         });
     kernel::LogEvent(kernel::EventId::kProcessReady,
                      {{"listen", this->listen}});
   }
--- a/src/agent/internal/agent_service.cc
+++ b/src/agent/internal/agent_service.cc
@@ -147,6 +147,17 @@
   this->core->OnConfig(config);
 }
 
+void AgentService::PublishMetrics() {
+  const link::Heartbeat state = this->State(kernel::Clock::now());
+  this->metrics->SetGauge("banyanlane_endpoint_running",
+                          static_cast<double>(state.running));
+  this->metrics->SetGauge("banyanlane_endpoint_queued",
+                          static_cast<double>(state.queued));
+  this->metrics->SetGauge("banyanlane_endpoint_up", state.endpoint_up ? 1 : 0);
+  this->metrics->SetGauge("banyanlane_config_revision",
+                          static_cast<double>(state.revision));
+}
+
 void AgentService::OnTick(kernel::TimePoint /*now*/) {
   this->Decide(
       [](AgentCore& core, kernel::TimePoint now) { return core.OnTick(now); });
@@ -176,6 +187,12 @@
 }
 
 void AgentService::Perform(SendMessage& action) {
+  if (const auto* ended = std::get_if<link::Ended>(&action.message)) {
+    this->metrics->Count("banyanlane_attempts_total{outcome=\"" +
+                         std::string(link::OutcomeName(ended->outcome)) +
+                         "\",reason=\"" +
+                         std::string(link::ReasonName(ended->reason)) + "\"}");
+  }
   if (const auto link = this->links.Find(action.link))
     (*link)->Send(action.message);
 }
--- a/src/agent/internal/agent_service.h
+++ b/src/agent/internal/agent_service.h
@@ -31,6 +31,8 @@
   void OnConfig(const config::ConfigPtr& config);
   void OnTick(kernel::TimePoint now);
   void OnLeaving(std::string_view cause, kernel::TimePoint now);
+  /// Brings the gauges up to date.
+  void PublishMetrics();
   link::Heartbeat State(kernel::TimePoint now);
   std::size_t Unfinished();
 
--- a/src/entry/entry_module.cc
+++ b/src/entry/entry_module.cc
@@ -16,6 +16,8 @@
 using kernel::SettingKind;
 
 constexpr double kAffinityBound = 2.0;
+/// Retry budgets of kinds of request that rest for this long begin anew.
+constexpr kernel::Millis kTickPeriod{60'000};
 
 /// The entry role: takes callers' requests and routes them to agents.
 class EntryModule : public kernel::IModule {
@@ -62,6 +64,10 @@
     }
     this->server =
         std::get<std::shared_ptr<http::IHttpServer>>(std::move(opened));
+    this->runtime->Every(kTickPeriod,
+                         [service = this->service](kernel::TimePoint now) {
+                           service->OnTick(now);
+                         });
     kernel::LogEvent(kernel::EventId::kProcessReady,
                      {{"listen", this->listen}});
   }
--- a/src/entry/internal/entry_service.cc
+++ b/src/entry/internal/entry_service.cc
@@ -423,6 +423,17 @@
   return all;
 }
 
+void EntryService::OnTick(kernel::TimePoint now) {
+  this->crash_evidence.Expire(now);
+  this->retry_budget.Trim();
+  this->metrics->SetGauge("banyanlane_requests_in_flight",
+                          static_cast<double>(this->runners.Size()));
+  this->metrics->SetGauge("banyanlane_suspected_work",
+                          static_cast<double>(this->crash_evidence.Size()));
+  this->metrics->SetGauge("banyanlane_links",
+                          static_cast<double>(this->links.Size()));
+}
+
 void EntryService::OnInstances(const membership::InstanceListPtr& list) {
   std::set<std::string> leaving;
   for (const membership::Instance& instance : list->instances) {
--- a/src/entry/internal/entry_service.h
+++ b/src/entry/internal/entry_service.h
@@ -36,6 +36,9 @@
                  kernel::TimePoint now) override;
   void OnLinkDown(const link::LinkPtr& link, kernel::TimePoint now) override;
 
+  /// Forgets what has expired or is not used any more.
+  void OnTick(kernel::TimePoint now);
+
   void OnInstances(const membership::InstanceListPtr& list);
 
   /// Begins a graceful shutdown.
--- a/src/entry/internal/retry_budget.cc
+++ b/src/entry/internal/retry_budget.cc
@@ -17,7 +17,16 @@
 
 }  // namespace
 
+void RetryBudget::Trim() {
+  this->balances.EraseIf([](const std::string& /*kind*/, Balance& balance) {
+    const bool idle = !balance.used;
+    balance.used = false;
+    return idle;
+  });
+}
+
 void RetryBudget::Open(Balance& balance) {
+  balance.used = true;
   if (balance.opened) return;
   balance.opened = true;
   balance.hundredths = kOpeningBalance;
--- a/src/entry/internal/retry_budget.h
+++ b/src/entry/internal/retry_budget.h
@@ -19,11 +19,17 @@
   bool TakeRetry(const config::Profile& profile,
                  const std::string& organisation);
 
+  /// Forgets the kinds that were not used since the last call.
+  void Trim();
+
+  std::size_t Size() { return this->balances.Size(); }
+
  private:
   /// A balance in hundredths of a retry.
   struct Balance {
     std::int64_t hundredths = 0;
     bool opened = false;
+    bool used = false;  ///< Since the last Trim.
   };
 
   static void Open(Balance& balance);
--- a/src/entry/tests/retry_budget_test.cc
+++ b/src/entry/tests/retry_budget_test.cc
@@ -28,6 +28,20 @@
   cr_assert_not(budget.TakeRetry(profile, "third"));
 }
 
+Test(retry_budget, forgets_kinds_at_rest) {
+  config::Profile profile;
+  profile.name = "chat";
+  profile.retry_budget_percent = 10;
+  RetryBudget budget;
+  for (int i = 0; i < 100; ++i)
+    budget.OnFirstAttempt(profile, "org" + std::to_string(i));
+  budget.Trim();
+  cr_assert_eq(budget.Size(), 100);
+  budget.OnFirstAttempt(profile, "org7");
+  budget.Trim();
+  cr_assert_eq(budget.Size(), 1);
+}
+
 Test(organisation_limits, gives_each_entry_its_share) {
   config::Profile profile;
   profile.name = "chat";
--- a/src/link/internal/ws_hub.cc
+++ b/src/link/internal/ws_hub.cc
@@ -65,7 +65,9 @@
 }
 
 template <typename Security>
-WsHub<Security>::~WsHub() { this->Stop(); }
+WsHub<Security>::~WsHub() {
+  this->Stop();
+}
 
 template <typename Security>
 template <typename Endpoint>
