Split the agent's decisions into smaller classes

Change: EndpointWatch (probes and what a loss is blamed on), AnswerPump (what each subscriber gets) and SettledAttempts come out of it; no decision changes. Excluded: a change of goldens; they pass as they were.

--- a/src/agent/internal/agent_core.cc
+++ b/src/agent/internal/agent_core.cc
@@ -1,5 +1,7 @@
 #include "agent/internal/agent_core.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "kernel/hash.h"
@@ -11,25 +13,10 @@
 using link::Outcome;
 using link::Reason;
 
-constexpr std::size_t kChunkBytes = std::size_t{64} * 1024;
-constexpr std::uint64_t kRetryWhenFullMillis = 500;
-constexpr std::uint64_t kRetryWhenDownMillis = 1'000;
-constexpr kernel::Millis kProbePeriod{500};
 constexpr std::int64_t kBytesPerToken = 4;
 constexpr std::string_view kStreamEndMark = "[DONE]";
 constexpr std::size_t kStreamEndWindow = 64;
 
-std::uint64_t RetryAfter(Reason reason) {
-  switch (reason) {
-    case Reason::kFull:
-      return kRetryWhenFullMillis;
-    case Reason::kEndpointDown:
-      return kRetryWhenDownMillis;
-    default:
-      return 0;
-  }
-}
-
 std::uint64_t KeyLifetime(const config::Profile& profile) {
   constexpr std::uint64_t kMillisPerSecond = 1'000;
   return static_cast<std::uint64_t>(profile.key_lifetime_s) * kMillisPerSecond;
@@ -63,7 +50,8 @@
       admission_state(limits.admission),
       ledger(this->identity.node, this->identity.incarnation,
              limits.ledger_entries, limits.ledger_answer_bytes),
-      crash_evidence(limits.evidence_lifetime) {}
+      crash_evidence(limits.evidence_lifetime),
+      pump(this->identity.incarnation) {}
 
 void AgentCore::OnConfig(config::ConfigPtr config) {
   this->config = std::move(config);
@@ -107,8 +95,8 @@
 std::optional<Reason> AgentCore::Objection(const link::Submit& submit,
                                            const config::Profile* profile,
                                            kernel::TimePoint now) const {
-  const auto before = this->settled.find({submit.request, submit.attempt});
-  const bool revoked = before != this->settled.end() && before->second.revoked;
+  const bool revoked = this->settled.Find(submit.request, submit.attempt) ==
+                       SettledAttempts::Kind::kRevoked;
   if (revoked) return Reason::kRevoked;
   if (this->ClockMillis(now) > submit.start_by_ms) return Reason::kExpired;
   if (profile == nullptr || profile->service != this->identity.service) {
@@ -120,13 +108,8 @@
 bool AgentCore::IsStray(const link::Submit& submit) const {
   if (submit.incarnation != this->identity.incarnation) return true;
   if (this->stream_of_request.count(submit.request) > 0) return true;
-  const auto before = this->settled.find({submit.request, submit.attempt});
-  return before != this->settled.end() && !before->second.revoked;
-}
-
-void AgentCore::Settle(const link::Submit& submit) {
-  this->settled[{submit.request, submit.attempt}] =
-      SettledAttempt{submit.start_by_ms, false};
+  return this->settled.Find(submit.request, submit.attempt) ==
+         SettledAttempts::Kind::kEnded;
 }
 
 void AgentCore::On(std::uint64_t link, link::Submit& submit,
@@ -147,7 +130,7 @@
       this->crash_evidence.StandingOf(submit.fingerprint, now);
   if (standing == evidence::Standing::kQuarantined)
     refusal = Reason::kQuarantined;
-  if (!this->endpoint_up) refusal = Reason::kEndpointDown;
+  if (!this->endpoint.IsUp()) refusal = Reason::kEndpointDown;
   if (this->leaving) refusal = Reason::kLeaving;
   if (refusal) {
     if (key) this->ledger.MarkNotRun(key->nonce);
@@ -274,7 +257,7 @@
   this->stream_of_request[submit.request] = stream_id;
   this->Do(Report{EventId::kAnswerResumed,
                   {{"request", submit.request}, {"stream", stream_id}}});
-  this->Pump(*stream);
+  this->pump.Pump(*stream, this->actions);
   if (stream->state == StreamState::kEnded) this->ExpireStream(*stream, now);
 }
 
@@ -324,7 +307,7 @@
 }
 
 void AgentCore::RunWaiting(kernel::TimePoint now) {
-  if (this->probing || !this->endpoint_up) return;
+  if (this->endpoint.IsProbing() || !this->endpoint.IsUp()) return;
   for (const std::string& id : this->admission_state.TakeRunnable()) {
     if (Stream* stream = this->Find(id)) this->Begin(*stream, now);
   }
@@ -338,10 +321,11 @@
     this->Finish(*stream, Outcome::kNotRun, Reason::kRevoked, now);
     return;
   }
-  const auto before = this->settled.find({revoke.request, revoke.attempt});
-  if (before != this->settled.end() && !before->second.revoked) return;
-  this->settled[{revoke.request, revoke.attempt}] =
-      SettledAttempt{revoke.start_by_ms, true};
+  using Kind = SettledAttempts::Kind;
+  if (this->settled.Find(revoke.request, revoke.attempt) == Kind::kEnded)
+    return;
+  this->settled.Add(revoke.request, revoke.attempt, Kind::kRevoked,
+                    revoke.start_by_ms);
   link::Ended ended;
   ended.request = revoke.request;
   ended.attempt = revoke.attempt;
@@ -398,7 +382,7 @@
   this->Do(Report{EventId::kAnswerResumed,
                   {{"request", resume.request},
                    {"offset", std::to_string(resume.offset)}}});
-  this->Pump(*stream);
+  this->pump.Pump(*stream, this->actions);
 }
 
 void AgentCore::On(std::uint64_t link, const link::Consumed& consumed,
@@ -413,7 +397,7 @@
     subscriber.consumed = std::max(subscriber.consumed, consumed.offset);
     stream->acknowledged = std::max(stream->acknowledged, subscriber.consumed);
   }
-  this->Pump(*stream);
+  this->pump.Pump(*stream, this->actions);
 }
 
 void AgentCore::On(std::uint64_t /*link*/, const link::Evidence& evidence,
@@ -453,7 +437,7 @@
   stream->head_known = true;
   stream->status = static_cast<std::uint64_t>(status);
   stream->headers = headers;
-  this->Pump(*stream);
+  this->pump.Pump(*stream, this->actions);
   return this->Take();
 }
 
@@ -469,7 +453,7 @@
           ? CountTokens(data)
           : static_cast<std::int64_t>(data.size()) / kBytesPerToken;
   this->admission_state.RaiseCharge(stream_id, stream->tokens);
-  this->Pump(*stream);
+  this->pump.Pump(*stream, this->actions);
   return this->Take();
 }
 
@@ -528,77 +512,64 @@
     this->RunWaiting(now);
     return this->Take();
   }
-  if (!this->probing) {
-    this->crash_cohort.clear();
-    for (const auto& [id, other] : this->streams) {
-      if (other->state != StreamState::kRunning) continue;
-      this->crash_cohort.emplace_back(other->work.fingerprint,
-                                      other->profile->crash_limit);
-    }
-    std::sort(this->crash_cohort.begin(), this->crash_cohort.end());
-  }
-  // The caller is told once it is known whether the endpoint crashed, so that
-  // the evidence reaches the entries ahead of a retry.
-  this->parked.push_back({stream_id, Reason::kEndpointFailed});
+  this->endpoint.OnCut(stream_id, this->RunningWork());
   this->BeginProbe();
   return this->Take();
 }
 
 void AgentCore::BeginProbe() {
-  if (this->probing) return;
-  this->probing = true;
-  this->Do(ProbeEndpoint{});
+  if (this->endpoint.BeginProbe()) this->Do(ProbeEndpoint{});
+}
+
+std::vector<CohortMember> AgentCore::RunningWork() const {
+  std::vector<CohortMember> running;
+  for (const auto& [id, stream] : this->streams) {
+    if (stream->state != StreamState::kRunning) continue;
+    running.push_back({stream->work.fingerprint, stream->profile->crash_limit});
+  }
+  return running;
 }
 
 AgentActions AgentCore::OnProbe(bool up, std::string_view boot,
                                 kernel::TimePoint now) {
-  const bool rebooted =
-      up && !this->endpoint_boot.empty() && boot != this->endpoint_boot;
-  if (up) this->endpoint_boot = std::string(boot);
-  if (this->endpoint_up && !up) {
+  const EndpointWatch::Finding finding = this->endpoint.OnProbe(up, boot, now);
+  if (finding.went_down) {
     this->Do(Report{EventId::kEndpointLost,
-                    {{"running", std::to_string(this->crash_cohort.size())}}});
+                    {{"running", std::to_string(this->RunningWork().size())}}});
   }
-  if (!this->endpoint_up && up)
+  if (finding.came_back) {
     this->Do(Report{EventId::kEndpointBack, {{"boot", std::string(boot)}}});
-  this->endpoint_up = up;
-  this->probing = false;
-  this->last_probe = now;
-  this->SettleParked(!up || rebooted, now);
+  }
+  if (finding.crashed) this->RecordCrash(finding.cohort, now);
+  for (const std::string& id : finding.failed) {
+    if (Stream* stream = this->Find(id)) {
+      this->Finish(*stream, Outcome::kUnknown, Reason::kEndpointFailed, now);
+    }
+  }
   this->RunWaiting(now);
   return this->Take();
 }
 
-void AgentCore::SettleParked(bool crashed, kernel::TimePoint now) {
-  const bool alone = this->crash_cohort.size() == 1;
-  const std::string crash = this->identity.node + "/" +
-                            std::to_string(this->identity.incarnation) + "/" +
-                            std::to_string(this->crash_count + 1);
-  if (crashed && !this->crash_cohort.empty()) {
-    ++this->crash_count;
-    for (const auto& [fingerprint, limit] : this->crash_cohort) {
-      link::Evidence evidence = this->crash_evidence.RecordCrash(
-          fingerprint, crash, alone, limit, now);
-      const bool quarantined =
-          evidence.suspicion == link::Suspicion::kQuarantined;
-      this->Do(Report{
-          quarantined ? EventId::kWorkQuarantined : EventId::kWorkSuspected,
-          {{"fingerprint", fingerprint}, {"crash", crash}}});
-      if (quarantined) {
-        this->Do(Audit{kernel::AuditKind::kQuarantine, fingerprint,
-                       "crash " + crash});
-      }
-      this->Do(Broadcast{std::move(evidence)});
-      this->ApplyStandingToWaiting(fingerprint, now);
+void AgentCore::RecordCrash(const std::vector<CohortMember>& cohort,
+                            kernel::TimePoint now) {
+  const bool alone = cohort.size() == 1;
+  const std::string crash =
+      fmt::format("{}/{}/{}", this->identity.node, this->identity.incarnation,
+                  ++this->crash_count);
+  for (const CohortMember& member : cohort) {
+    link::Evidence evidence = this->crash_evidence.RecordCrash(
+        member.fingerprint, crash, alone, member.crash_limit, now);
+    const bool quarantined =
+        evidence.suspicion == link::Suspicion::kQuarantined;
+    this->Do(Report{
+        quarantined ? EventId::kWorkQuarantined : EventId::kWorkSuspected,
+        {{"fingerprint", member.fingerprint}, {"crash", crash}}});
+    if (quarantined) {
+      this->Do(Audit{kernel::AuditKind::kQuarantine, member.fingerprint,
+                     "crash " + crash});
     }
-  }
-  this->crash_cohort.clear();
-  std::vector<ParkedFailure> failures;
-  failures.swap(this->parked);
-  for (const ParkedFailure& failure : failures) {
-    Stream* stream = this->Find(failure.stream);
-    if (stream != nullptr)
-      this->Finish(*stream, Outcome::kUnknown, failure.reason, now);
+    this->Do(Broadcast{std::move(evidence)});
+    this->ApplyStandingToWaiting(member.fingerprint, now);
   }
 }
 
@@ -620,14 +591,10 @@
     if (Stream* stream = this->Find(id)) this->ExpireStream(*stream, now);
   }
   const std::uint64_t clock = this->ClockMillis(now);
-  for (auto it = this->settled.begin(); it != this->settled.end();) {
-    const bool past = it->second.start_by_ms < clock;
-    it = past ? this->settled.erase(it) : std::next(it);
-  }
+  this->settled.Expire(clock);
   this->ledger.Expire(clock);
   this->crash_evidence.Expire(now);
-  if (!this->endpoint_up && now - this->last_probe >= kProbePeriod)
-    this->BeginProbe();
+  if (this->endpoint.IsProbeDue(now)) this->BeginProbe();
   this->RunWaiting(now);
   return this->Take();
 }
@@ -666,7 +633,7 @@
                 readers.end());
   if (readers.size() == before) return;
   if (!readers.empty()) {
-    this->Pump(stream);
+    this->pump.Pump(stream, this->actions);
     return;
   }
   this->OnNobodyReads(stream, false, now);
@@ -708,7 +675,7 @@
   }
   this->admission_state.Remove(stream.work.request);
   this->SettleKey(stream);
-  this->Pump(stream);
+  this->pump.Pump(stream, this->actions);
   // An attempt that never ran leaves nothing to come back for.
   if (outcome == Outcome::kNotRun) this->ForgetStream(stream.work.request);
 }
@@ -738,100 +705,23 @@
     it = it->second == id ? this->stream_of_request.erase(it) : std::next(it);
   }
   const auto found = this->streams.find(id);
-  this->Settle(found->second->work);
+  const link::Submit& work = found->second->work;
+  this->settled.Add(work.request, work.attempt, SettledAttempts::Kind::kEnded,
+                    work.start_by_ms);
   this->streams.erase(found);
 }
 
-void AgentCore::Pump(Stream& stream) {
-  for (Subscriber& subscriber : stream.subscribers)
-    this->PumpSubscriber(stream, subscriber);
-  if (stream.state == StreamState::kRunning) this->AdjustPace(stream);
-  if (stream.state != StreamState::kEnded) return;
-  auto& readers = stream.subscribers;
-  const auto done = [&stream](const Subscriber& reader) {
-    return stream.outcome != Outcome::kCompleted ||
-           reader.sent == stream.buffer.End();
-  };
-  for (const Subscriber& reader : readers) {
-    if (done(reader)) this->SendEnd(stream, reader);
-  }
-  readers.erase(std::remove_if(readers.begin(), readers.end(), done),
-                readers.end());
-}
-
-void AgentCore::PumpSubscriber(Stream& stream, Subscriber& subscriber) {
-  const std::uint64_t incarnation = this->identity.incarnation;
-  if (stream.begun && !subscriber.started_sent) {
-    subscriber.started_sent = true;
-    this->Do(SendMessage{subscriber.link, link::Started{subscriber.request,
-                                                        subscriber.attempt}});
-  }
-  if (!stream.head_known) return;
-  if (!subscriber.head_sent) {
-    subscriber.head_sent = true;
-    this->Do(
-        SendMessage{subscriber.link,
-                    link::Head{subscriber.request, subscriber.attempt,
-                               incarnation, stream.status, stream.headers}});
-  }
-  const auto window =
-      static_cast<std::uint64_t>(stream.profile->unread_window_bytes);
-  const std::uint64_t until =
-      std::min(stream.buffer.End(), subscriber.consumed + window);
-  subscriber.sent = std::max(subscriber.sent, stream.buffer.Begin());
-  while (subscriber.sent < until) {
-    const std::size_t most =
-        std::min<std::size_t>(kChunkBytes, until - subscriber.sent);
-    const std::string_view part = stream.buffer.Read(subscriber.sent, most);
-    this->Do(SendMessage{
-        subscriber.link,
-        link::Chunk{subscriber.request, subscriber.attempt, incarnation,
-                    subscriber.sent, link::Blob{std::string(part)}}});
-    subscriber.sent += part.size();
-  }
-}
-
-void AgentCore::SendEnd(const Stream& stream, const Subscriber& subscriber) {
-  link::Ended ended;
-  ended.request = subscriber.request;
-  ended.attempt = subscriber.attempt;
-  ended.incarnation = this->identity.incarnation;
-  ended.outcome = stream.outcome;
-  ended.reason = stream.reason;
-  ended.length = stream.buffer.End();
-  ended.digest = stream.digest;
-  ended.retry_after_ms = RetryAfter(stream.reason);
-  this->Do(SendMessage{subscriber.link, std::move(ended)});
-}
-
-void AgentCore::AdjustPace(Stream& stream) {
-  const auto window =
-      static_cast<std::uint64_t>(stream.profile->unread_window_bytes);
-  std::uint64_t slowest = stream.acknowledged;
-  for (const Subscriber& subscriber : stream.subscribers) {
-    slowest = std::min(slowest, subscriber.consumed);
-  }
-  const std::uint64_t unread = stream.buffer.End() - slowest;
-  if (!stream.paused && unread > window) {
-    stream.paused = true;
-    this->Do(PauseCall{stream.work.request});
-  }
-  if (stream.paused && unread <= window / 2) {
-    stream.paused = false;
-    this->Do(ResumeCall{stream.work.request});
-  }
-}
-
 void AgentCore::RefuseSubmit(std::uint64_t link, const link::Submit& submit,
                              Reason reason, Outcome outcome) {
-  this->Settle(submit);
+  this->settled.Add(submit.request, submit.attempt,
+                    SettledAttempts::Kind::kEnded, submit.start_by_ms);
   link::Ended ended;
   ended.request = submit.request;
   ended.attempt = submit.attempt;
   ended.incarnation = this->identity.incarnation;
   ended.outcome = outcome;
   ended.reason = reason;
-  ended.retry_after_ms = RetryAfter(reason);
+  ended.retry_after_ms = RetryAfterMillis(reason);
   this->Do(SendMessage{link, std::move(ended)});
 }
 
@@ -840,7 +730,7 @@
   heartbeat.revision = this->config ? this->config->revision : 0;
   heartbeat.clock_ms = this->ClockMillis(now);
   heartbeat.leaving = this->leaving;
-  heartbeat.endpoint_up = this->endpoint_up;
+  heartbeat.endpoint_up = this->endpoint.IsUp();
   heartbeat.running = this->admission_state.Running();
   heartbeat.queued = this->admission_state.Queued();
   heartbeat.slots = this->limits.admission.slots;
--- a/src/agent/internal/agent_core.h
+++ b/src/agent/internal/agent_core.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,8 +10,11 @@
 
 #include "agent/internal/admission.h"
 #include "agent/internal/agent_actions.h"
+#include "agent/internal/answer_pump.h"
 #include "agent/internal/charge_policy.h"
+#include "agent/internal/endpoint_watch.h"
 #include "agent/internal/execution_ledger.h"
+#include "agent/internal/settled_attempts.h"
 #include "agent/internal/stream.h"
 #include "config/profile.h"
 #include "evidence/crash_evidence.h"
@@ -82,18 +84,6 @@
   std::uint64_t ClockMillis(kernel::TimePoint now) const;
 
  private:
-  /// An attempt that must not start, kept until it could not start anyway.
-  struct SettledAttempt {
-    std::uint64_t start_by_ms = 0;
-    bool revoked =
-        false;  ///< Before it came; else it came, and was refused or has ended.
-  };
-
-  struct ParkedFailure {
-    std::string stream;
-    link::Reason reason;
-  };
-
   void On(std::uint64_t link, link::Submit& submit, kernel::TimePoint now);
   void On(std::uint64_t link, const link::Revoke& revoke,
           kernel::TimePoint now);
@@ -108,7 +98,6 @@
 
   /// Returns whether `submit` came before, or is not for this agent.
   bool IsStray(const link::Submit& submit) const;
-  void Settle(const link::Submit& submit);
 
   /// Returns why `submit` can't run here, if anything speaks against it.
   std::optional<link::Reason> Objection(const link::Submit& submit,
@@ -130,13 +119,6 @@
   void Begin(Stream& stream, kernel::TimePoint now);
   void RunWaiting(kernel::TimePoint now);
 
-  /// Sends each subscriber what it may have by now, and holds the endpoint back
-  /// or lets it go on.
-  void Pump(Stream& stream);
-  void PumpSubscriber(Stream& stream, Subscriber& subscriber);
-  void SendEnd(const Stream& stream, const Subscriber& subscriber);
-  void AdjustPace(Stream& stream);
-
   void Finish(Stream& stream, link::Outcome outcome, link::Reason reason,
               kernel::TimePoint now);
   void SettleKey(const Stream& stream);
@@ -152,7 +134,9 @@
   void ApplyStandingToWaiting(const std::string& fingerprint,
                               kernel::TimePoint now);
   void BeginProbe();
-  void SettleParked(bool crashed, kernel::TimePoint now);
+  std::vector<CohortMember> RunningWork() const;
+  void RecordCrash(const std::vector<CohortMember>& cohort,
+                   kernel::TimePoint now);
   void ExpireStream(Stream& stream, kernel::TimePoint now);
 
   Stream* Find(const std::string& id);
@@ -172,17 +156,12 @@
   evidence::CrashEvidence crash_evidence;
   std::unordered_map<std::string, std::unique_ptr<Stream>> streams;
   std::unordered_map<std::string, std::string> stream_of_request;
-  std::map<std::pair<std::string, std::uint64_t>, SettledAttempt> settled;
+  SettledAttempts settled;
 
   bool leaving = false;
-  bool endpoint_up = true;
-  std::string endpoint_boot;
-  bool probing = false;
-  std::vector<std::pair<std::string, std::int64_t>>
-      crash_cohort;  ///< Fingerprint, crash limit.
-  std::vector<ParkedFailure> parked;
+  EndpointWatch endpoint;
   std::uint64_t crash_count = 0;
-  kernel::TimePoint last_probe;
+  AnswerPump pump;
   AgentActions actions;
 };
 
--- /dev/null
+++ b/src/agent/internal/answer_pump.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+
+#include "agent/internal/agent_actions.h"
+#include "agent/internal/stream.h"
+#include "link/messages.h"
+
+namespace banyanlane::agent {
+
+/// Sends each subscriber of a stream what it may have by now, and holds the
+/// endpoint back when the slowest has too much ahead of it.
+class AnswerPump {
+ public:
+  /// @param incarnation of this agent, on every frame.
+  explicit AnswerPump(std::uint64_t incarnation) : incarnation(incarnation) {}
+
+  /// Appends what is to be done to `actions`. Subscribers who got the end are
+  /// dropped.
+  void Pump(Stream& stream, AgentActions& actions) const;
+
+ private:
+  void PumpSubscriber(Stream& stream, Subscriber& subscriber,
+                      AgentActions& actions) const;
+  void SendParts(Stream& stream, Subscriber& subscriber,
+                 AgentActions& actions) const;
+  void SendEnds(Stream& stream, AgentActions& actions) const;
+  link::Ended EndFor(const Stream& stream, const Subscriber& subscriber) const;
+  static void AdjustPace(Stream& stream, AgentActions& actions);
+
+  std::uint64_t incarnation;
+};
+
+/// Returns when to come back after `reason`, or 0 where nothing is known.
+std::uint64_t RetryAfterMillis(link::Reason reason);
+
+}  // namespace banyanlane::agent
--- /dev/null
+++ b/src/agent/internal/endpoint_watch.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "kernel/time.h"
+
+namespace banyanlane::agent {
+
+/// Work that was running when the endpoint may have been lost.
+struct CohortMember {
+  std::string fingerprint;
+  std::int64_t crash_limit = 0;
+};
+
+/// Knows whether the endpoint is up, and what a loss of it is to be blamed on.
+///
+/// A cut connection alone is no loss. Its caller is told only once a probe on a
+/// new connection has shown whether the endpoint crashed, so that the evidence
+/// reaches entries ahead of a retry.
+class EndpointWatch {
+ public:
+  /// What a probe settled.
+  struct Finding {
+    bool went_down = false;
+    bool came_back = false;
+    bool crashed = false;
+    std::vector<CohortMember>
+        cohort;  ///< Ran when it crashed; empty without a crash.
+    std::vector<std::string>
+        failed;  ///< Streams whose callers can be told now.
+  };
+
+  bool IsUp() const { return this->up; }
+  bool IsProbing() const { return this->probing; }
+
+  /// @return whether a probe is to be sent.
+  bool BeginProbe();
+
+  /// Returns whether the endpoint is down and due for another look.
+  bool IsProbeDue(kernel::TimePoint now) const;
+
+  /// The connection of `stream` was cut while `cohort` was running.
+  void OnCut(std::string stream, std::vector<CohortMember> cohort);
+
+  /// @param boot the endpoint's own name for this life, or "".
+  Finding OnProbe(bool answered, std::string_view boot, kernel::TimePoint now);
+
+ private:
+  bool up = true;
+  bool probing = false;
+  std::string boot;
+  kernel::TimePoint last_probe;
+  std::vector<CohortMember> cohort;
+  std::vector<std::string> failed;
+};
+
+}  // namespace banyanlane::agent
