Replay old frames on their own link in the random failures

Cause: with the memory of ended attempts taken out of a scratch copy, no test failed: old frames came back on any link, where the check of the incarnation stops them first. Excluded: a mechanism without use; on its own link a Submit that came back ran work that was said not to run.

--- a/src/agent/internal/agent_core.cc
+++ b/src/agent/internal/agent_core.cc
@@ -13,31 +13,37 @@
 using link::Outcome;
 using link::Reason;
 
-constexpr std::int64_t kBytesPerToken = 4;
-constexpr std::string_view kStreamEndMark = "[DONE]";
-constexpr std::size_t kStreamEndWindow = 64;
-
 std::uint64_t KeyLifetime(const config::Profile& profile) {
   constexpr std::uint64_t kMillisPerSecond = 1'000;
   return static_cast<std::uint64_t>(profile.key_lifetime_s) * kMillisPerSecond;
 }
 
-ExecutionLedger::Work WorkOf(const link::Submit& submit) {
-  return {submit.profile, submit.organisation, submit.fingerprint};
-}
+/// How a claim that can't go on is refused.
+struct ClaimRefusal {
+  ExecutionLedger::Claim claim;
+  Reason reason;
+  Outcome outcome;
+};
 
-std::int64_t CountTokens(std::string_view data) {
-  std::int64_t count = 0;
-  for (std::size_t at = data.find("data:"); at != std::string_view::npos;
-       at = data.find("data:", at + 1)) {
-    ++count;
-  }
-  return count;
+constexpr ClaimRefusal kClaimRefusals[] = {
+    {ExecutionLedger::Claim::kUnknown, Reason::kEndpointFailed,
+     Outcome::kUnknown},
+    {ExecutionLedger::Claim::kNotRun, Reason::kKeySpent, Outcome::kNotRun},
+    {ExecutionLedger::Claim::kWrongIncarnation, Reason::kWrongIncarnation,
+     Outcome::kUnknown},
+    {ExecutionLedger::Claim::kExpired, Reason::kKeyExpired, Outcome::kUnknown},
+    {ExecutionLedger::Claim::kConflict, Reason::kKeyConflict, Outcome::kNotRun},
+    {ExecutionLedger::Claim::kFull, Reason::kFull, Outcome::kUnknown},
+};
+
+const ClaimRefusal& RefusalOf(ExecutionLedger::Claim claim) {
+  return *std::find_if(
+      std::begin(kClaimRefusals), std::end(kClaimRefusals),
+      [claim](const ClaimRefusal& refusal) { return refusal.claim == claim; });
 }
 
-bool IsEventStream(const link::WireHeaders& headers) {
-  return http::HeaderOf(headers, "content-type")
-             .rfind("text/event-stream", 0) == 0;
+ExecutionLedger::Work WorkOf(const link::Submit& submit) {
+  return {submit.profile, submit.organisation, submit.fingerprint};
 }
 
 }  // namespace
@@ -65,10 +71,9 @@
 }
 
 AgentActions AgentCore::OnLinkDown(std::uint64_t link, kernel::TimePoint now) {
-  std::vector<std::string> ids;
-  for (const auto& [id, stream] : this->streams) ids.push_back(id);
-  for (const std::string& id : ids) {
-    if (Stream* stream = this->Find(id))
+  for (const std::string& id :
+       this->streams.Names([](const Stream&) { return true; })) {
+    if (Stream* stream = this->streams.Find(id))
       this->DropSubscribers(*stream, link, nullptr, now);
   }
   this->RunWaiting(now);
@@ -107,7 +112,7 @@
 
 bool AgentCore::IsStray(const link::Submit& submit) const {
   if (submit.incarnation != this->identity.incarnation) return true;
-  if (this->stream_of_request.count(submit.request) > 0) return true;
+  if (this->streams.FindByRequest(submit.request) != nullptr) return true;
   return this->settled.Find(submit.request, submit.attempt) ==
          SettledAttempts::Kind::kEnded;
 }
@@ -164,39 +169,22 @@
   const LedgerClaim claim =
       this->ledger.TryClaim(*key, WorkOf(submit), submit.request,
                             KeyLifetime(profile), this->ClockMillis(now));
-  switch (claim) {
-    case LedgerClaim::kFresh:
-      return true;
-    case LedgerClaim::kRunning:
-      this->AttachToRunning(link, submit, this->ledger.Find(key->nonce)->stream,
-                            now);
-      return false;
-    case LedgerClaim::kCompleted:
-      this->AnswerFromLedger(link, submit, *this->ledger.Find(key->nonce));
-      return false;
-    case LedgerClaim::kUnknown:
-      this->RefuseSubmit(link, submit, Reason::kEndpointFailed,
-                         Outcome::kUnknown);
-      return false;
-    case LedgerClaim::kNotRun:
-      this->RefuseSubmit(link, submit, Reason::kKeySpent);
-      return false;
-    case LedgerClaim::kWrongIncarnation:
-      this->RefuseSubmit(link, submit, Reason::kWrongIncarnation,
-                         Outcome::kUnknown);
-      return false;
-    case LedgerClaim::kExpired:
-      this->RefuseSubmit(link, submit, Reason::kKeyExpired, Outcome::kUnknown);
-      return false;
-    case LedgerClaim::kConflict:
-      this->Do(Report{EventId::kKeyConflict,
-                      {{"organisation", submit.organisation}}});
-      this->RefuseSubmit(link, submit, Reason::kKeyConflict);
-      return false;
-    case LedgerClaim::kFull:
-      this->RefuseSubmit(link, submit, Reason::kFull, Outcome::kUnknown);
-      return false;
+  if (claim == LedgerClaim::kFresh) return true;
+  if (claim == LedgerClaim::kRunning) {
+    this->AttachToRunning(link, submit, this->ledger.Find(key->nonce)->stream,
+                          now);
+    return false;
+  }
+  if (claim == LedgerClaim::kCompleted) {
+    this->AnswerFromLedger(link, submit, *this->ledger.Find(key->nonce));
+    return false;
   }
+  if (claim == LedgerClaim::kConflict) {
+    this->Do(
+        Report{EventId::kKeyConflict, {{"organisation", submit.organisation}}});
+  }
+  const ClaimRefusal& refusal = RefusalOf(claim);
+  this->RefuseSubmit(link, submit, refusal.reason, refusal.outcome);
   return false;
 }
 
@@ -242,7 +230,7 @@
 void AgentCore::AttachToRunning(std::uint64_t link, const link::Submit& submit,
                                 const std::string& stream_id,
                                 kernel::TimePoint now) {
-  Stream* stream = this->Find(stream_id);
+  Stream* stream = this->streams.Find(stream_id);
   if (stream == nullptr) {
     this->RefuseSubmit(link, submit, Reason::kEndpointFailed,
                        Outcome::kUnknown);
@@ -254,7 +242,7 @@
   subscriber.attempt = submit.attempt;
   stream->subscribers.push_back(std::move(subscriber));
   stream->detached_at.reset();
-  this->stream_of_request[submit.request] = stream_id;
+  this->streams.AddReader(submit.request, stream_id);
   this->Do(Report{EventId::kAnswerResumed,
                   {{"request", submit.request}, {"stream", stream_id}}});
   this->pump.Pump(*stream, this->actions);
@@ -277,11 +265,10 @@
   std::optional<std::string> displaced;
   const Admission::Verdict verdict =
       this->admission_state.Add(claim, displaced);
-  Stream& kept = *stream;
-  this->streams.emplace(id, std::move(stream));
-  this->stream_of_request[id] = id;
+  Stream& kept = this->streams.Add(std::move(stream));
   if (displaced)
-    this->Finish(*this->Find(*displaced), Outcome::kNotRun, Reason::kFull, now);
+    this->Finish(*this->streams.Find(*displaced), Outcome::kNotRun,
+                 Reason::kFull, now);
   if (verdict == Admission::Verdict::kFull) {
     this->Finish(kept, Outcome::kNotRun, Reason::kFull, now);
   }
@@ -309,13 +296,13 @@
 void AgentCore::RunWaiting(kernel::TimePoint now) {
   if (this->endpoint.IsProbing() || !this->endpoint.IsUp()) return;
   for (const std::string& id : this->admission_state.TakeRunnable()) {
-    if (Stream* stream = this->Find(id)) this->Begin(*stream, now);
+    if (Stream* stream = this->streams.Find(id)) this->Begin(*stream, now);
   }
 }
 
 void AgentCore::On(std::uint64_t link, const link::Revoke& revoke,
                    kernel::TimePoint now) {
-  Stream* stream = this->FindByRequest(revoke.request);
+  Stream* stream = this->streams.FindByRequest(revoke.request);
   if (stream != nullptr && stream->state != StreamState::kQueued) return;
   if (stream != nullptr) {
     this->Finish(*stream, Outcome::kNotRun, Reason::kRevoked, now);
@@ -337,10 +324,10 @@
 
 void AgentCore::On(std::uint64_t link, const link::Cancel& cancel,
                    kernel::TimePoint now) {
-  Stream* stream = this->FindByRequest(cancel.request);
+  Stream* stream = this->streams.FindByRequest(cancel.request);
   if (stream == nullptr) return;
   this->DropSubscribers(*stream, link, &cancel.request, now);
-  stream = this->FindByRequest(cancel.request);
+  stream = this->streams.FindByRequest(cancel.request);
   if (stream != nullptr && stream->subscribers.empty() && cancel.at_once) {
     this->OnNobodyReads(*stream, true, now);
   }
@@ -349,7 +336,7 @@
 
 void AgentCore::On(std::uint64_t link, const link::Resume& resume,
                    kernel::TimePoint /*now*/) {
-  Stream* stream = this->FindByRequest(resume.request);
+  Stream* stream = this->streams.FindByRequest(resume.request);
   const bool allowed =
       stream != nullptr && stream->work.organisation == resume.organisation;
   link::Ended refusal;
@@ -387,7 +374,7 @@
 
 void AgentCore::On(std::uint64_t link, const link::Consumed& consumed,
                    kernel::TimePoint /*now*/) {
-  Stream* stream = this->FindByRequest(consumed.request);
+  Stream* stream = this->streams.FindByRequest(consumed.request);
   if (stream == nullptr) return;
   for (Subscriber& subscriber : stream->subscribers) {
     const bool matches = subscriber.link == link &&
@@ -412,13 +399,13 @@
                                        kernel::TimePoint now) {
   const auto standing = this->crash_evidence.StandingOf(fingerprint, now);
   if (standing == evidence::Standing::kClear) return;
-  std::vector<std::string> waiting;
-  for (const auto& [id, stream] : this->streams) {
-    const bool matches = stream->work.fingerprint == fingerprint;
-    if (matches && stream->state == StreamState::kQueued) waiting.push_back(id);
-  }
+  const auto waiting =
+      this->streams.Names([&fingerprint](const Stream& stream) {
+        return stream.state == StreamState::kQueued &&
+               stream.work.fingerprint == fingerprint;
+      });
   for (const std::string& id : waiting) {
-    Stream& stream = *this->Find(id);
+    Stream& stream = *this->streams.Find(id);
     if (standing == evidence::Standing::kQuarantined) {
       this->Finish(stream, Outcome::kNotRun, Reason::kQuarantined, now);
       continue;
@@ -428,151 +415,6 @@
   }
 }
 
-AgentActions AgentCore::OnCallHead(const std::string& stream_id, int status,
-                                   const http::Headers& headers,
-                                   kernel::TimePoint /*now*/) {
-  Stream* stream = this->Find(stream_id);
-  if (stream == nullptr || stream->state != StreamState::kRunning)
-    return this->Take();
-  stream->head_known = true;
-  stream->status = static_cast<std::uint64_t>(status);
-  stream->headers = headers;
-  this->pump.Pump(*stream, this->actions);
-  return this->Take();
-}
-
-AgentActions AgentCore::OnCallData(const std::string& stream_id,
-                                   std::string_view data,
-                                   kernel::TimePoint /*now*/) {
-  Stream* stream = this->Find(stream_id);
-  if (stream == nullptr || stream->state != StreamState::kRunning)
-    return this->Take();
-  stream->buffer.Append(data);
-  stream->tokens +=
-      IsEventStream(stream->headers)
-          ? CountTokens(data)
-          : static_cast<std::int64_t>(data.size()) / kBytesPerToken;
-  this->admission_state.RaiseCharge(stream_id, stream->tokens);
-  this->pump.Pump(*stream, this->actions);
-  return this->Take();
-}
-
-AgentActions AgentCore::OnCallEnd(const std::string& stream_id,
-                                  kernel::TimePoint now) {
-  Stream* stream = this->Find(stream_id);
-  if (stream == nullptr || stream->state != StreamState::kRunning)
-    return this->Take();
-  const std::string_view kept = stream->buffer.Kept();
-  const std::string_view tail =
-      kept.substr(kept.size() - std::min(kept.size(), kStreamEndWindow));
-  constexpr std::uint64_t kOk = 200;
-  const bool must_be_marked =
-      IsEventStream(stream->headers) && stream->status == kOk;
-  if (must_be_marked && tail.find(kStreamEndMark) == std::string_view::npos) {
-    this->Finish(*stream, Outcome::kUnknown, Reason::kEndpointFailed, now);
-  } else {
-    this->charge_policy->Observe(stream->profile->name,
-                                 stream->work.organisation,
-                                 std::max<std::int64_t>(1, stream->tokens));
-    if (stream->alone) {
-      if (auto cleared = this->crash_evidence.RecordClearance(
-              stream->work.fingerprint, now)) {
-        this->Do(Report{EventId::kWorkCleared,
-                        {{"fingerprint", cleared->fingerprint}}});
-        this->Do(Audit{kernel::AuditKind::kClearance, cleared->fingerprint,
-                       "ran alone to its end"});
-        this->Do(Broadcast{std::move(*cleared)});
-      }
-    }
-    this->Finish(*stream, Outcome::kCompleted, Reason::kNone, now);
-  }
-  this->RunWaiting(now);
-  return this->Take();
-}
-
-AgentActions AgentCore::OnCallFailed(const std::string& stream_id,
-                                     const kernel::Error& error,
-                                     http::SendState state,
-                                     kernel::TimePoint now) {
-  Stream* stream = this->Find(stream_id);
-  if (stream == nullptr || stream->state != StreamState::kRunning)
-    return this->Take();
-  if (state == http::SendState::kNotSent) {
-    const Reason reason =
-        stream->cancelled ? Reason::kCancelled : Reason::kEndpointDown;
-    this->Finish(*stream, Outcome::kNotRun, reason, now);
-    if (reason == Reason::kEndpointDown) this->BeginProbe();
-    return this->Take();
-  }
-  const bool cut = error.code == kernel::ErrorCode::kCut && !stream->cancelled;
-  if (!cut) {
-    this->Finish(
-        *stream, Outcome::kUnknown,
-        stream->cancelled ? Reason::kCancelled : Reason::kEndpointFailed, now);
-    this->RunWaiting(now);
-    return this->Take();
-  }
-  this->endpoint.OnCut(stream_id, this->RunningWork());
-  this->BeginProbe();
-  return this->Take();
-}
-
-void AgentCore::BeginProbe() {
-  if (this->endpoint.BeginProbe()) this->Do(ProbeEndpoint{});
-}
-
-std::vector<CohortMember> AgentCore::RunningWork() const {
-  std::vector<CohortMember> running;
-  for (const auto& [id, stream] : this->streams) {
-    if (stream->state != StreamState::kRunning) continue;
-    running.push_back({stream->work.fingerprint, stream->profile->crash_limit});
-  }
-  return running;
-}
-
-AgentActions AgentCore::OnProbe(bool up, std::string_view boot,
-                                kernel::TimePoint now) {
-  const EndpointWatch::Finding finding = this->endpoint.OnProbe(up, boot, now);
-  if (finding.went_down) {
-    this->Do(Report{EventId::kEndpointLost,
-                    {{"running", std::to_string(this->RunningWork().size())}}});
-  }
-  if (finding.came_back) {
-    this->Do(Report{EventId::kEndpointBack, {{"boot", std::string(boot)}}});
-  }
-  if (finding.crashed) this->RecordCrash(finding.cohort, now);
-  for (const std::string& id : finding.failed) {
-    if (Stream* stream = this->Find(id)) {
-      this->Finish(*stream, Outcome::kUnknown, Reason::kEndpointFailed, now);
-    }
-  }
-  this->RunWaiting(now);
-  return this->Take();
-}
-
-void AgentCore::RecordCrash(const std::vector<CohortMember>& cohort,
-                            kernel::TimePoint now) {
-  const bool alone = cohort.size() == 1;
-  const std::string crash =
-      fmt::format("{}/{}/{}", this->identity.node, this->identity.incarnation,
-                  ++this->crash_count);
-  for (const CohortMember& member : cohort) {
-    link::Evidence evidence = this->crash_evidence.RecordCrash(
-        member.fingerprint, crash, alone, member.crash_limit, now);
-    const bool quarantined =
-        evidence.suspicion == link::Suspicion::kQuarantined;
-    this->Do(Report{
-        quarantined ? EventId::kWorkQuarantined : EventId::kWorkSuspected,
-        {{"fingerprint", member.fingerprint}, {"crash", crash}}});
-    if (quarantined) {
-      this->Do(Audit{kernel::AuditKind::kQuarantine, member.fingerprint,
-                     "crash " + crash});
-    }
-    this->Do(Broadcast{std::move(evidence)});
-    this->ApplyStandingToWaiting(member.fingerprint, now);
-  }
-}
-
 AgentActions AgentCore::OnLeaving(std::string_view cause,
                                   kernel::TimePoint now) {
   if (this->leaving) return this->Take();
@@ -584,41 +426,6 @@
   return this->Take();
 }
 
-AgentActions AgentCore::OnTick(kernel::TimePoint now) {
-  std::vector<std::string> ids;
-  for (const auto& [id, stream] : this->streams) ids.push_back(id);
-  for (const std::string& id : ids) {
-    if (Stream* stream = this->Find(id)) this->ExpireStream(*stream, now);
-  }
-  const std::uint64_t clock = this->ClockMillis(now);
-  this->settled.Expire(clock);
-  this->ledger.Expire(clock);
-  this->crash_evidence.Expire(now);
-  if (this->endpoint.IsProbeDue(now)) this->BeginProbe();
-  this->RunWaiting(now);
-  return this->Take();
-}
-
-void AgentCore::ExpireStream(Stream& stream, kernel::TimePoint now) {
-  const std::uint64_t clock = this->ClockMillis(now);
-  const auto grace = kernel::Millis(stream.profile->resume_grace_ms);
-  if (stream.state == StreamState::kQueued) {
-    const bool late = clock > stream.work.start_by_ms;
-    if (late) this->Finish(stream, Outcome::kNotRun, Reason::kExpired, now);
-    return;
-  }
-  if (stream.state == StreamState::kEnded) {
-    if (now - stream.ended_at >= grace) this->ForgetStream(stream.work.request);
-    return;
-  }
-  if (clock > stream.work.deadline_ms) {
-    this->Abandon(stream, Reason::kDeadline, now);
-    return;
-  }
-  const bool unread = stream.detached_at && now - *stream.detached_at >= grace;
-  if (unread) this->OnNobodyReads(stream, true, now);
-}
-
 void AgentCore::DropSubscribers(Stream& stream, std::uint64_t link,
                                 const std::string* request,
                                 kernel::TimePoint now) {
@@ -653,64 +460,6 @@
   if (at_once) this->Abandon(stream, Reason::kCancelled, now);
 }
 
-void AgentCore::Abandon(Stream& stream, Reason reason, kernel::TimePoint now) {
-  stream.cancelled = true;
-  // What the caller left unread counts as not used, so that later reservations
-  // cost less.
-  this->charge_policy->Observe(stream.profile->name, stream.work.organisation,
-                               std::max<std::int64_t>(1, stream.tokens));
-  this->Do(AbortCall{stream.work.request});
-  this->Finish(stream, Outcome::kUnknown, reason, now);
-}
-
-void AgentCore::Finish(Stream& stream, Outcome outcome, Reason reason,
-                       kernel::TimePoint now) {
-  if (stream.state == StreamState::kEnded) return;
-  stream.state = StreamState::kEnded;
-  stream.ended_at = now;
-  stream.outcome = outcome;
-  stream.reason = reason;
-  if (outcome == Outcome::kCompleted && stream.buffer.IsWhole()) {
-    stream.digest = kernel::Digest(stream.buffer.Kept());
-  }
-  this->admission_state.Remove(stream.work.request);
-  this->SettleKey(stream);
-  this->pump.Pump(stream, this->actions);
-  // An attempt that never ran leaves nothing to come back for.
-  if (outcome == Outcome::kNotRun) this->ForgetStream(stream.work.request);
-}
-
-void AgentCore::SettleKey(const Stream& stream) {
-  if (!stream.key) return;
-  const std::string& nonce = stream.key->nonce;
-  if (stream.outcome == Outcome::kNotRun) {
-    this->ledger.MarkNotRun(nonce);
-    return;
-  }
-  if (stream.outcome == Outcome::kUnknown) {
-    this->ledger.MarkUnknown(nonce);
-    return;
-  }
-  ExecutionLedger::Answer answer;
-  answer.status = stream.status;
-  answer.headers = stream.headers;
-  answer.body_kept = stream.buffer.IsWhole();
-  answer.body = std::string(stream.buffer.Kept());
-  this->ledger.Complete(nonce, std::move(answer));
-}
-
-void AgentCore::ForgetStream(const std::string& id) {
-  for (auto it = this->stream_of_request.begin();
-       it != this->stream_of_request.end();) {
-    it = it->second == id ? this->stream_of_request.erase(it) : std::next(it);
-  }
-  const auto found = this->streams.find(id);
-  const link::Submit& work = found->second->work;
-  this->settled.Add(work.request, work.attempt, SettledAttempts::Kind::kEnded,
-                    work.start_by_ms);
-  this->streams.erase(found);
-}
-
 void AgentCore::RefuseSubmit(std::uint64_t link, const link::Submit& submit,
                              Reason reason, Outcome outcome) {
   this->settled.Add(submit.request, submit.attempt,
@@ -738,12 +487,11 @@
 }
 
 std::size_t AgentCore::Unfinished() const {
-  std::size_t count = 0;
-  for (const auto& [id, stream] : this->streams) {
-    const bool being_read = !stream->subscribers.empty();
-    if (stream->state != StreamState::kEnded || being_read) ++count;
-  }
-  return count;
+  const auto unfinished = this->streams.Names([](const Stream& stream) {
+    const bool being_read = !stream.subscribers.empty();
+    return stream.state != StreamState::kEnded || being_read;
+  });
+  return unfinished.size();
 }
 
 std::uint64_t AgentCore::ClockMillis(kernel::TimePoint now) const {
@@ -751,17 +499,6 @@
       kernel::MillisBetween(this->identity.started, now));
 }
 
-Stream* AgentCore::Find(const std::string& id) {
-  const auto found = this->streams.find(id);
-  return found == this->streams.end() ? nullptr : found->second.get();
-}
-
-Stream* AgentCore::FindByRequest(const std::string& request) {
-  const auto found = this->stream_of_request.find(request);
-  return found == this->stream_of_request.end() ? nullptr
-                                                : this->Find(found->second);
-}
-
 AgentActions AgentCore::Take() {
   AgentActions taken;
   taken.swap(this->actions);
--- a/src/agent/internal/agent_core.h
+++ b/src/agent/internal/agent_core.h
@@ -5,7 +5,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "agent/internal/admission.h"
@@ -16,6 +15,7 @@
 #include "agent/internal/execution_ledger.h"
 #include "agent/internal/settled_attempts.h"
 #include "agent/internal/stream.h"
+#include "agent/internal/stream_table.h"
 #include "config/profile.h"
 #include "evidence/crash_evidence.h"
 #include "http/i_http_runtime.h"
@@ -79,7 +79,7 @@
   /// Returns the number of answers that are not yet whole and read.
   std::size_t Unfinished() const;
 
-  std::size_t StreamCount() const { return this->streams.size(); }
+  std::size_t StreamCount() const { return this->streams.Size(); }
   const Admission& admission() const { return this->admission_state; }
   std::uint64_t ClockMillis(kernel::TimePoint now) const;
 
@@ -139,8 +139,6 @@
                    kernel::TimePoint now);
   void ExpireStream(Stream& stream, kernel::TimePoint now);
 
-  Stream* Find(const std::string& id);
-  Stream* FindByRequest(const std::string& request);
   template <typename Action>
   void Do(Action action) {
     this->actions.push_back(std::move(action));
@@ -154,8 +152,7 @@
   Admission admission_state;
   ExecutionLedger ledger;
   evidence::CrashEvidence crash_evidence;
-  std::unordered_map<std::string, std::unique_ptr<Stream>> streams;
-  std::unordered_map<std::string, std::string> stream_of_request;
+  StreamTable streams;
   SettledAttempts settled;
 
   bool leaving = false;
--- a/tests/sessions/promises_test.cc
+++ b/tests/sessions/promises_test.cc
@@ -24,6 +24,7 @@
 )";
 
 constexpr int kOperations = 250;
+constexpr std::size_t kOldFramesKept = 12;
 constexpr int kSeeds = 400;
 constexpr std::uint64_t kDeadlineMillis = 4'000;
 
@@ -37,8 +38,9 @@
       this->world.AddAgent(agent, agent[0] == 'm' ? "model" : "tabs");
     }
     this->world.Publish(kProfiles, 1);
-    this->world.network = [this](const link::Message& message) {
-      return this->Mangle(message);
+    this->world.network = [this](const std::string& link,
+                                 const link::Message& message) {
+      return this->Mangle(link, message);
     };
     for (const std::string& entry : this->entries) {
       this->world.AddEntry(entry);
@@ -79,17 +81,24 @@
     return this->entries[this->Pick(this->entries.size())];
   }
 
-  /// Doubles frames and brings back old ones.
-  std::vector<link::Message> Mangle(const link::Message& message) {
+  /// Doubles frames and brings back old ones, of the same link or of any.
+  std::vector<link::Message> Mangle(const std::string& link,
+                                    const link::Message& message) {
     std::vector<link::Message> arriving = {message};
     if (this->Chance(5)) arriving.push_back(message);
-    if (!this->old_frames.empty() && this->Chance(5)) {
-      arriving.push_back(this->old_frames[this->Pick(this->old_frames.size())]);
-    }
+    const std::string from = this->Chance(80) ? link : "any";
+    const auto& old = this->old_frames[from];
+    if (!old.empty() && this->Chance(8))
+      arriving.push_back(old[this->Pick(old.size())]);
     const bool worth_keeping = std::holds_alternative<link::Chunk>(message) ||
                                std::holds_alternative<link::Submit>(message) ||
                                std::holds_alternative<link::Ended>(message);
-    if (worth_keeping && this->Chance(30)) this->old_frames.push_back(message);
+    if (!worth_keeping) return arriving;
+    for (const std::string& name : {link, std::string("any")}) {
+      auto& kept = this->old_frames[name];
+      kept.push_back(message);
+      if (kept.size() > kOldFramesKept) kept.erase(kept.begin());
+    }
     return arriving;
   }
 
@@ -250,7 +259,7 @@
   SessionWorld world;
   const std::vector<std::string> agents = {"m1", "m2", "t1", "t2"};
   const std::vector<std::string> entries = {"e1", "e2"};
-  std::vector<link::Message> old_frames;
+  std::map<std::string, std::vector<link::Message>> old_frames;
   std::vector<std::string> keys;
   std::map<std::string, std::string> bodies;
   std::map<std::string, std::set<std::string>> whole_answers;
--- a/tests/sessions/session_world.cc
+++ b/tests/sessions/session_world.cc
@@ -449,7 +449,9 @@
 void SessionWorld::Deliver(const WireKey& key, link::Message message,
                            bool to_agent) {
   std::vector<link::Message> arriving = {message};
-  if (this->network) arriving = this->network(message);
+  if (this->network)
+    arriving =
+        this->network(key.first + key.second + (to_agent ? ">" : "<"), message);
   for (link::Message& arrived : arriving) {
     // What one message brings about can cut the link that the next would come
     // by.
--- a/tests/sessions/session_world.h
+++ b/tests/sessions/session_world.h
@@ -94,7 +94,9 @@
   std::string trace;
   /// Returns what arrives in place of a message: nothing, the message, or
   /// others besides.
-  std::function<std::vector<link::Message>(const link::Message&)> network;
+  std::function<std::vector<link::Message>(const std::string& link,
+                                           const link::Message&)>
+      network;
 
  private:
   struct Wire {
