--- /dev/null
+++ b/src/evidence/tests/crash_evidence_test.cc
@@ -0,0 +1,60 @@
+#include "evidence/crash_evidence.h"
+
+#include <criterion/criterion.h>
+
+namespace banyanlane::evidence {
+namespace {
+
+constexpr std::int64_t kLimit = 2;
+constexpr kernel::Millis kLifetime{1'000};
+const kernel::TimePoint kNow{};
+
+}  // namespace
+
+Test(crash_evidence, never_quarantines_what_was_lost_beside_others) {
+  CrashEvidence evidence(kLifetime);
+  for (int i = 0; i < 10; ++i) {
+    evidence.RecordCrash("popular", "crash" + std::to_string(i), false, kLimit,
+                         kNow);
+  }
+  cr_assert(evidence.StandingOf("popular", kNow) == Standing::kSuspect);
+  evidence.RecordCrash("popular", "alone", true, kLimit, kNow);
+  cr_assert(evidence.StandingOf("popular", kNow) == Standing::kQuarantined);
+  cr_assert_not(evidence.RecordClearance("popular", kNow).has_value());
+}
+
+Test(crash_evidence, counts_one_loss_once) {
+  CrashEvidence evidence(kLifetime);
+  evidence.RecordCrash("work", "crash1", true, kLimit, kNow);
+  evidence.RecordCrash("work", "crash1", true, kLimit, kNow);
+  cr_assert(evidence.StandingOf("work", kNow) == Standing::kSuspect);
+}
+
+Test(crash_evidence, expires) {
+  CrashEvidence evidence(kLifetime);
+  evidence.RecordCrash("work", "crash1", true, 1, kNow);
+  cr_assert(evidence.StandingOf("work", kNow) == Standing::kQuarantined);
+  cr_assert(evidence.StandingOf("work", kNow + kLifetime) == Standing::kClear);
+  evidence.Expire(kNow + kLifetime);
+  cr_assert_eq(evidence.Size(), 0);
+}
+
+Test(crash_evidence, merges_in_any_order_to_the_same_standing) {
+  CrashEvidence source(kLifetime);
+  const auto first = source.RecordCrash("work", "crash1", false, kLimit, kNow);
+  const auto cleared = *source.RecordClearance("work", kNow);
+  const auto second = source.RecordCrash("work", "crash2", false, kLimit, kNow);
+  cr_assert(source.StandingOf("work", kNow) == Standing::kSuspect);
+  CrashEvidence in_order(kLifetime);
+  for (const auto& news : {first, cleared, second})
+    cr_assert(in_order.Merge(news, kNow));
+  CrashEvidence reversed(kLifetime);
+  for (const auto& news : {second, cleared, first}) reversed.Merge(news, kNow);
+  cr_assert(in_order.StandingOf("work", kNow) == Standing::kSuspect);
+  // A clearance of the first loss says nothing of the second.
+  cr_assert(reversed.StandingOf("work", kNow) == Standing::kSuspect);
+  cr_assert_not(in_order.Merge(second, kNow),
+                "what is known is not passed on again");
+}
+
+}  // namespace banyanlane::evidence
