--- a/tests/processes/fleet.cc
+++ b/tests/processes/fleet.cc
@@ -170,7 +170,7 @@
 }
 
 void Fleet::StartPlatform(const std::string& config) {
-  this->NewAddress("platform");
+  this->platform_address = this->NewAddress("platform");
   this->Spawn("platform", {Binary("standin"), "platform",
                            "--listen=" + this->Address("platform")});
   Await([&] {
@@ -202,10 +202,7 @@
   this->StartAgent(name);
   std::string listed = this->Address(name);
   if (relayed) {
-    listed = this->NewAddress("relay-" + name);
-    this->Spawn("relay-" + name,
-                {Binary("standin"), "relay", "--listen=" + listed,
-                 "--to=" + this->Address(name)});
+    listed = this->AddRelay("relay-" + name, this->Address(name));
   }
   this->instances[name] = R"("role":"endpoint","address":")" + listed +
                           R"(","service":")" + service +
@@ -213,6 +210,18 @@
   this->states[name] = "live";
 }
 
+std::string Fleet::AddRelay(const std::string& name, const std::string& to) {
+  const std::string address = this->NewAddress(name);
+  this->Spawn(
+      name, {Binary("standin"), "relay", "--listen=" + address, "--to=" + to});
+  return address;
+}
+
+void Fleet::RelayPlatform() {
+  this->platform_address =
+      this->AddRelay("relay-platform", this->Address("platform"));
+}
+
 void Fleet::StartAgent(const std::string& name) {
   this->Spawn(name, {Binary("banyanlane"), "agent",
                      "--settings=" + this->directory + "/" + name + ".ini"});
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -49,6 +49,11 @@
   void AddEndpoint(const std::string& name, const std::string& kind,
                    const std::string& service, bool relayed = false,
                    const std::string& agent_settings = "");
+  /// Puts a process between its users and `to` that can swallow open
+  /// connections. @return where.
+  std::string AddRelay(const std::string& name, const std::string& to);
+  /// Entries added from now on read the platform through "relay-platform".
+  void RelayPlatform();
   void StartStandin(const std::string& name);
   void StartAgent(const std::string& name);
   void AddEntry(const std::string& name,
@@ -119,6 +124,7 @@
   std::string directory;
   int next_port = 7000;
   bool secured = false;
+  std::string platform_address;  ///< Where entries read it.
   std::map<std::string, std::string> addresses;
   std::map<std::string, pid_t> pids;
   std::map<std::string, std::string> kinds;
--- a/tests/processes/process_test.cc
+++ b/tests/processes/process_test.cc
@@ -390,6 +390,22 @@
                 std::string::npos);
 }
 
+Test(processes, follow_the_platform_after_its_watches_went_silent) {
+  Fleet fleet;
+  fleet.StartPlatform(kConfig);
+  fleet.RelayPlatform();
+  fleet.AddEndpoint("m1", "engine", "model");
+  fleet.AddEntry("e1");
+  fleet.PublishInstances();
+  fleet.AwaitEndpoints("e1", 1);
+  fleet.Signal("relay-platform", SIGUSR1);
+  fleet.Publish(kConfig, 7);
+  cr_assert(Fleet::Await([&] {
+    return fleet.AdminPage("m1", "/status").find("revision=7\n") !=
+           std::string::npos;
+  }));
+}
+
 Test(processes, try_elsewhere_when_an_engine_goes_silent_before_its_answer) {
   Fleet fleet;
   std::string impatient = kConfig;
