Wait for whole answers, and survive a field of the wrong kind

Cause: a chat answer that is not streamed comes whole, so the time to its first byte is all of its making; attempt_timeout_ms ended it and it was tried again up to three times (test wait_for_an_answer_that_comes_whole_*, seen failing with 502). Reading "stream" for this, a text in its place threw out of the handler and ended the entry (answer_bad_input_*, seen failing). Change: whole answers wait until the deadline, while a probe on a new connection each attempt_timeout_ms tells if the endpoint is up; if it is down they are given up and tried elsewhere. The field is checked, and what escapes a handler closes that connection alone, as event BL0406.

--- a/src/agent/internal/agent_core.cc
+++ b/src/agent/internal/agent_core.cc
@@ -275,9 +275,19 @@
   if (verdict == Admission::Verdict::kRun) this->Begin(kept, now);
 }
 
-void AgentCore::Begin(Stream& stream, kernel::TimePoint /*now*/) {
+kernel::Millis AgentCore::HeadTimeout(const Stream& stream,
+                                      kernel::TimePoint now) const {
+  const std::uint64_t clock = this->ClockMillis(now);
+  const std::uint64_t left =
+      stream.work.deadline_ms > clock ? stream.work.deadline_ms - clock : 1;
+  if (stream.work.comes_whole) return kernel::Millis(left);
+  return kernel::Millis(stream.profile->attempt_timeout_ms);
+}
+
+void AgentCore::Begin(Stream& stream, kernel::TimePoint now) {
   stream.state = StreamState::kRunning;
   stream.begun = true;
+  stream.checked_at = now;
   for (Subscriber& subscriber : stream.subscribers) {
     subscriber.started_sent = true;
     this->Do(SendMessage{subscriber.link, link::Started{subscriber.request,
@@ -289,7 +299,7 @@
   call.request.target = stream.work.target;
   call.request.headers = stream.work.headers;
   call.request.body = std::move(stream.work.body.bytes);
-  call.head_timeout = kernel::Millis(stream.profile->attempt_timeout_ms);
+  call.head_timeout = this->HeadTimeout(stream, now);
   this->Do(std::move(call));
 }
 
--- a/src/agent/internal/agent_core.h
+++ b/src/agent/internal/agent_core.h
@@ -116,6 +116,8 @@
   void AttachToRunning(std::uint64_t link, const link::Submit& submit,
                        const std::string& stream_id, kernel::TimePoint now);
   void Admit(std::unique_ptr<Stream> stream, kernel::TimePoint now);
+  /// Returns how long the endpoint may take to the first byte of its answer.
+  kernel::Millis HeadTimeout(const Stream& stream, kernel::TimePoint now) const;
   void Begin(Stream& stream, kernel::TimePoint now);
   void RunWaiting(kernel::TimePoint now);
 
@@ -135,6 +137,8 @@
                               kernel::TimePoint now);
   void BeginProbe();
   std::vector<CohortMember> RunningWork() const;
+  /// Gives up on whole answers that an endpoint which is down will not send.
+  void AbandonUnanswered(kernel::TimePoint now);
   void RecordCrash(const std::vector<CohortMember>& cohort,
                    kernel::TimePoint now);
   void ExpireStream(Stream& stream, kernel::TimePoint now);
--- a/src/agent/internal/agent_core_endpoint.cc
+++ b/src/agent/internal/agent_core_endpoint.cc
@@ -32,6 +32,12 @@
              .rfind("text/event-stream", 0) == 0;
 }
 
+/// Whether the endpoint is at work on an answer that it will send whole.
+bool IsUnanswered(const Stream& stream) {
+  return stream.state == StreamState::kRunning && stream.work.comes_whole &&
+         !stream.head_known;
+}
+
 }  // namespace
 
 AgentActions AgentCore::OnCallHead(const std::string& stream_id, int status,
@@ -150,6 +156,7 @@
     this->Do(Report{EventId::kEndpointBack, {{"boot", std::string(boot)}}});
   }
   if (finding.crashed) this->RecordCrash(finding.cohort, now);
+  if (!up) this->AbandonUnanswered(now);
   for (const std::string& id : finding.failed) {
     if (Stream* stream = this->streams.Find(id)) {
       this->Finish(*stream, Outcome::kUnknown, Reason::kEndpointFailed, now);
@@ -159,6 +166,12 @@
   return this->Take();
 }
 
+void AgentCore::AbandonUnanswered(kernel::TimePoint now) {
+  for (const std::string& id : this->streams.Names(IsUnanswered)) {
+    this->Abandon(*this->streams.Find(id), Reason::kEndpointFailed, now);
+  }
+}
+
 void AgentCore::RecordCrash(const std::vector<CohortMember>& cohort,
                             kernel::TimePoint now) {
   const bool alone = cohort.size() == 1;
@@ -213,6 +226,13 @@
     this->Abandon(stream, Reason::kDeadline, now);
     return;
   }
+  const auto patience = kernel::Millis(stream.profile->attempt_timeout_ms);
+  if (IsUnanswered(stream) && now - stream.checked_at >= patience) {
+    // An answer that comes whole is silent for long: a new connection tells if
+    // the endpoint is up.
+    stream.checked_at = now;
+    this->BeginProbe();
+  }
   const bool unread = stream.detached_at && now - *stream.detached_at >= grace;
   if (unread) this->OnNobodyReads(stream, true, now);
 }
--- a/src/agent/internal/stream.h
+++ b/src/agent/internal/stream.h
@@ -46,6 +46,8 @@
   std::vector<Subscriber> subscribers;
 
   bool begun = false;  ///< The endpoint was called.
+  kernel::TimePoint
+      checked_at;  ///< When the endpoint was last known to be at work on it.
   bool head_known = false;
   std::uint64_t status = 0;
   link::WireHeaders headers;
--- a/src/entry/internal/caller_request.cc
+++ b/src/entry/internal/caller_request.cc
@@ -80,6 +80,11 @@
     checked.reserved_tokens =
         std::min(checked.reserved_tokens, most->get<std::uint64_t>());
   }
+  const auto stream = body.find("stream");
+  if (stream != body.end() && !stream->is_boolean()) {
+    return BadRequest(400, "invalid_body", "stream: not a boolean");
+  }
+  checked.comes_whole = stream == body.end() || !stream->get<bool>();
   checked.affinity = checked.profile->service + "\n" + PromptPrefix(body);
   return std::nullopt;
 }
--- a/src/entry/internal/request_flow.cc
+++ b/src/entry/internal/request_flow.cc
@@ -193,6 +193,7 @@
   submit.start_by_ms = this->AgentTimeAt(endpoint, this->deadline, now);
   submit.deadline_ms = submit.start_by_ms;
   submit.reserved_tokens = this->caller.reserved_tokens;
+  submit.comes_whole = this->caller.comes_whole;
   submit.key = this->caller.key;
   submit.fingerprint = this->caller.fingerprint;
   submit.method = this->caller.method;
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -1,9 +1,11 @@
 #include "http/internal/http_server.h"
 
 #include <array>
+#include <exception>
 #include <optional>
 
 #include "http/internal/http_exchange.h"
+#include "kernel/event_log.h"
 
 namespace banyanlane::http {
 namespace {
@@ -121,6 +123,18 @@
   }
 }
 
+void HttpServer::HandleGuarded(HttpExchange& exchange) {
+  try {
+    this->handler->Handle(exchange);
+  } catch (const std::exception& failure) {
+    // One request that its handler can't cope with must not end the process.
+    kernel::LogEvent(
+        kernel::EventId::kHandlerFailed,
+        {{"path", exchange.request().Path()}, {"reason", failure.what()}});
+    exchange.Abort();
+  }
+}
+
 bool HttpServer::ServeOne(StrandStream& stream, const Strand& strand,
                           beast::flat_buffer& buffer,
                           asio::yield_context yield) {
@@ -151,7 +165,7 @@
   HttpExchange exchange(stream, strand, yield,
                         CopyRequest(parser.get(), PeerOf(stream)), this->limits,
                         parser.get().keep_alive());
-  this->handler->Handle(exchange);
+  this->HandleGuarded(exchange);
   --this->active;
   stream.expires_never();
   return exchange.CanContinue() && this->acceptor.is_open();
--- a/src/http/internal/http_server.h
+++ b/src/http/internal/http_server.h
@@ -8,6 +8,8 @@
 
 namespace banyanlane::http {
 
+class HttpExchange;
+
 /// Accepts connections and runs one coroutine for each.
 class HttpServer : public IHttpServer,
                    public std::enable_shared_from_this<HttpServer> {
@@ -26,6 +28,7 @@
   void Accept();
   void Serve(StrandStream& stream, const Strand& strand,
              asio::yield_context yield);
+  void HandleGuarded(HttpExchange& exchange);
   /// Answers one request. @return whether the connection goes on.
   bool ServeOne(StrandStream& stream, const Strand& strand,
                 beast::flat_buffer& buffer, asio::yield_context yield);
--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -83,6 +83,8 @@
        "An answer goes on from an offset."},
       {EventId::kKeyConflict, "key_conflict", Level::kWarning,
        "An idempotency key came again with other work."},
+      {EventId::kHandlerFailed, "handler_failed", Level::kError,
+       "A request failed inside the process; its connection was closed."},
       {EventId::kEndpointLost, "endpoint_lost", Level::kWarning,
        "The endpoint dropped its connections."},
       {EventId::kEndpointBack, "endpoint_back", Level::kInfo,
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -32,6 +32,7 @@
   kAnswerCut = 403,
   kAnswerResumed = 404,
   kKeyConflict = 405,
+  kHandlerFailed = 406,
   kEndpointLost = 500,
   kEndpointBack = 501,
   kEndpointLeaving = 502,
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -104,8 +104,9 @@
       0;  ///< On the agent's clock; never started later.
   std::uint64_t deadline_ms = 0;  ///< On the agent's clock; cancelled then.
   std::uint64_t reserved_tokens = 0;
-  std::string key;          ///< Idempotency key, or "".
-  std::string fingerprint;  ///< Of the work, not of the request.
+  bool comes_whole = false;  ///< The endpoint answers nothing until it has all.
+  std::string key;           ///< Idempotency key, or "".
+  std::string fingerprint;   ///< Of the work, not of the request.
   std::string method;
   std::string target;
   WireHeaders headers;
@@ -115,8 +116,9 @@
   void Visit(Visitor& visit) {
     visit(this->request, this->attempt, this->incarnation, this->organisation,
           this->profile, this->priority, this->start_by_ms, this->deadline_ms,
-          this->reserved_tokens, this->key, this->fingerprint, this->method,
-          this->target, this->headers, this->body);
+          this->reserved_tokens, this->comes_whole, this->key,
+          this->fingerprint, this->method, this->target, this->headers,
+          this->body);
   }
 };
 
--- a/tests/processes/process_test.cc
+++ b/tests/processes/process_test.cc
@@ -131,6 +131,9 @@
       {{"POST", chat, known, R"({"messages":[],"max_tokens":-1})", ""},
        400,
        "invalid_body"},
+      {{"POST", chat, known, R"({"messages":[],"stream":"yes"})", ""},
+       400,
+       "invalid_body"},
       {{"GET", chat, known, "", ""}, 405, "wrong_method"},
       {{"POST", chat, {{"banyanlane-profile", "chat"}}, good, ""},
        400,
@@ -425,6 +428,20 @@
   }
 }
 
+Test(processes, wait_for_an_answer_that_comes_whole_as_long_as_its_deadline) {
+  Fleet fleet;
+  std::string impatient = kConfig;
+  impatient.replace(impatient.find("resume_grace_ms"), 0,
+                    "attempt_timeout_ms = 300\n");
+  fleet.StartPlatform(impatient);
+  fleet.AddEndpoint("m1", "engine", "model");
+  fleet.AddEntry("e1");
+  fleet.PublishInstances();
+  fleet.AwaitEndpoints("e1", 1);
+  const auto answer = fleet.Ask("e1", Fleet::Chat("long", 200, false));
+  cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+}
+
 Test(processes, tell_a_cut_from_a_whole_answer) {
   Fleet fleet;
   StartUsual(fleet, 1);
