--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -30,13 +30,21 @@
   return text + kProfile;
 }
 
+/// How many links an entry has, and how often each says something.
+struct LinkScope {
+  int links = 0;
+  int heartbeat_millis = 0;
+};
+
 void MeasureLinks(std::uint64_t /*seed*/) {
   fmt::print("{:>6} {:>12} {:>12} {:>9} {:>11} {:>10} {:>16} {:>18}\n", "links",
              "heartbeat ms", "entry core%", "entry MB", "agent core%",
              "agent MB", "bytes/s a link", "spread of 64 KB s");
-  const std::pair<int, int> sizes[] = {
+  const LinkScope scopes[] = {
       {10, 1'000}, {40, 1'000}, {120, 1'000}, {120, 3'000}};
-  for (const auto& [count, heartbeat] : sizes) {
+  for (const LinkScope& scope : scopes) {
+    const int count = scope.links;
+    const int heartbeat = scope.heartbeat_millis;
     Fleet fleet;
     fleet.heartbeat_millis = heartbeat;
     fleet.StartPlatform(kProfile);
