--- a/src/entry/internal/request_flow.cc
+++ b/src/entry/internal/request_flow.cc
@@ -22,11 +22,6 @@
 constexpr std::uint64_t kLabelsPerFlow = 1'000'000;
 constexpr std::string_view kRequestHeader = "banyanlane-request";
 
-bool IsEventStream(const http::Headers& headers) {
-  return http::HeaderOf(headers, "content-type")
-             .rfind("text/event-stream", 0) == 0;
-}
-
 /// Whether coming back can help after `reason`.
 bool IsTransient(Reason reason) {
   switch (reason) {
@@ -46,27 +41,6 @@
 
 }  // namespace
 
-std::string AnswerName::Format() const {
-  return fmt::format("{}~{:x}~{}", this->node, this->incarnation,
-                     this->request);
-}
-
-std::optional<AnswerName> AnswerName::Parse(std::string_view text) {
-  const std::vector<std::string_view> parts = kernel::Split(text, '~');
-  constexpr std::size_t kParts = 3;
-  AnswerName name;
-  if (parts.size() != kParts) return std::nullopt;
-  constexpr int kHexadecimal = 16;
-  const auto incarnation =
-      kernel::ParseNumber<std::uint64_t>(parts[1], kHexadecimal);
-  if (!incarnation) return std::nullopt;
-  name.incarnation = *incarnation;
-  name.node = std::string(parts[0]);
-  name.request = std::string(parts[2]);
-  if (name.node.empty() || name.request.empty()) return std::nullopt;
-  return name;
-}
-
 std::string RequestFlow::FlowIdOf(std::string_view wire_request) {
   return std::string(wire_request.substr(0, wire_request.find('.')));
 }
@@ -102,9 +76,8 @@
                                    kernel::TimePoint now) {
   this->deadline = now + kernel::Millis(this->caller.deadline_ms);
   this->any_unknown = true;
-  this->resumed_part = offset > 0;
-  this->first_offset = offset;
-  this->received = offset;
+  this->resumed = true;
+  this->answer = std::make_unique<AnswerAssembly>(offset);
   this->acknowledged = offset;
   this->wire_request = name.request;
   this->label = this->first_resume_label;
@@ -114,7 +87,7 @@
     this->GiveUp(holder ? Reason::kNotFound : Reason::kNoEndpoint, "resume", 0);
     return this->Take();
   }
-  this->Reattach(*holder, now);
+  this->Reattach(*holder);
   return this->Take();
 }
 
@@ -178,11 +151,8 @@
   this->wire_request = this->id + "." + std::to_string(this->attempts);
   this->state = State::kSubmitted;
   this->revoked = false;
-  this->received = 0;
   this->acknowledged = 0;
-  this->head_known = false;
-  this->held.clear();
-  this->digest = std::make_unique<kernel::DigestStream>();
+  this->answer = std::make_unique<AnswerAssembly>();
   link::Submit submit;
   submit.request = this->wire_request;
   submit.attempt = this->label;
@@ -204,22 +174,19 @@
   this->SendToEndpoint(std::move(submit));
 }
 
-void RequestFlow::Reattach(const EndpointView& endpoint,
-                           kernel::TimePoint now) {
-  const bool resuming_held = this->digest != nullptr;
-  if (!resuming_held) this->digest = std::make_unique<kernel::DigestStream>();
+void RequestFlow::Reattach(const EndpointView& endpoint) {
   if (!this->endpoint) this->context.directory.OnAssigned(endpoint.node);
   this->endpoint = endpoint;
   ++this->label;
-  this->state = this->head_known ? State::kAnswering : State::kStarted;
-  this->acknowledged = this->received;
+  this->state = this->answer->HasHead() ? State::kAnswering : State::kStarted;
+  this->acknowledged = this->answer->Received();
   this->actions.push_back(
       FlowReport{EventId::kAnswerResumed,
                  {{"request", this->wire_request},
-                  {"offset", std::to_string(this->received)}}});
+                  {"offset", std::to_string(this->answer->Received())}}});
   this->SendToEndpoint(link::Resume{this->wire_request, this->label,
-                                    this->caller.organisation, this->received});
-  static_cast<void>(now);
+                                    this->caller.organisation,
+                                    this->answer->Received()});
 }
 
 FlowActions RequestFlow::OnMessage(std::uint64_t link, link::Message message,
@@ -242,49 +209,46 @@
 
 void RequestFlow::On(link::Head& head, kernel::TimePoint /*now*/) {
   if (!this->IsCurrent(head.request, head.attempt)) return;
-  if (head.incarnation != this->endpoint->incarnation || this->head_known)
+  if (head.incarnation != this->endpoint->incarnation ||
+      this->answer->HasHead())
     return;
   this->state = State::kAnswering;
-  this->head_known = true;
-  this->status = static_cast<int>(head.status);
-  this->headers = std::move(head.headers);
   const AnswerName name{this->endpoint->node, this->endpoint->incarnation,
                         this->wire_request};
-  this->headers.emplace_back(kRequestHeader, name.Format());
+  head.headers.emplace_back(kRequestHeader, name.Format());
+  this->answer->SetHead(static_cast<int>(head.status), std::move(head.headers));
 }
 
-void RequestFlow::On(link::Chunk& chunk, kernel::TimePoint now) {
+void RequestFlow::On(const link::Chunk& chunk, kernel::TimePoint /*now*/) {
   if (!this->IsCurrent(chunk.request, chunk.attempt)) return;
-  const bool foreign =
-      chunk.incarnation != this->endpoint->incarnation || !this->head_known;
-  if (foreign || chunk.offset < this->received) return;
-  if (chunk.offset > this->received) {
-    // Part of the answer is missing: asks for it again instead of passing on a
-    // hole.
-    this->Reattach(*this->endpoint, now);
+  const bool foreign = chunk.incarnation != this->endpoint->incarnation;
+  if (foreign || !this->answer->HasHead()) return;
+  const AnswerAssembly::Taken taken = this->answer->Take(chunk);
+  if (taken == AnswerAssembly::Taken::kOld) return;
+  if (taken == AnswerAssembly::Taken::kGap) {
+    // Asks for the missing part again instead of passing on a hole.
+    this->Reattach(*this->endpoint);
     return;
   }
-  this->received += chunk.data.bytes.size();
-  this->digest->Add(chunk.data.bytes);
-  this->held += chunk.data.bytes;
   const bool too_long =
-      this->held.size() > this->context.limits.whole_answer_bytes;
-  if (IsEventStream(this->headers) || too_long || this->streaming) {
+      this->answer->HeldBytes() > this->context.limits.whole_answer_bytes;
+  if (this->answer->IsEventStream() || too_long || this->streaming) {
     this->BeginStreaming();
     return;
   }
-  this->AcknowledgeUpTo(this->received);
+  this->AcknowledgeUpTo(this->answer->Received());
 }
 
 void RequestFlow::BeginStreaming() {
   if (!this->streaming) {
     this->streaming = true;
-    this->actions.push_back(DeliverHead{this->status, this->headers});
+    this->actions.push_back(
+        DeliverHead{this->answer->status(), this->answer->headers()});
   }
-  if (this->held.empty()) return;
+  if (this->answer->HeldBytes() == 0) return;
   DeliverData part;
-  part.data.swap(this->held);
-  part.end_offset = this->received;
+  part.data = this->answer->Release();
+  part.end_offset = this->answer->Received();
   this->actions.push_back(std::move(part));
 }
 
@@ -309,21 +273,19 @@
     this->GiveUp(Reason::kAnswerTooLarge, "replay", 0);
     return;
   }
-  const bool whole = this->head_known && ended.length == this->received;
-  const bool checkable = !this->resumed_part && !ended.digest.empty();
-  if (!whole || (checkable && ended.digest != this->digest->Finish())) {
+  if (!this->answer->IsWhole(ended)) {
     this->OnUnknown(Reason::kEndpointFailed, 0, now);
     return;
   }
   this->ReleaseEndpoint();
-  if (this->streaming || this->resumed_part) {
+  if (this->streaming || this->resumed) {
     this->BeginStreaming();
     this->actions.push_back(DeliverEnd{});
   } else {
     DeliverWhole whole_answer;
-    whole_answer.response.status = this->status;
-    whole_answer.response.headers = this->headers;
-    whole_answer.response.body.swap(this->held);
+    whole_answer.response.status = this->answer->status();
+    whole_answer.response.headers = this->answer->headers();
+    whole_answer.response.body = this->answer->Release();
     this->actions.push_back(std::move(whole_answer));
   }
   this->Finish();
@@ -434,13 +396,13 @@
     return this->Take();
   }
   const bool keyed_without_head =
-      !this->caller.key.empty() && !this->head_known;
+      !this->caller.key.empty() && !this->answer->HasHead();
   if (keyed_without_head) {
     // The agent's ledger tells whether the first copy arrived.
     this->ReleaseEndpoint();
     this->Submit(*back, now);
   } else {
-    this->Reattach(*back, now);
+    this->Reattach(*back);
   }
   return this->Take();
 }
--- a/src/entry/internal/request_flow.h
+++ b/src/entry/internal/request_flow.h
@@ -8,12 +8,13 @@
 #include <string>
 #include <string_view>
 
+#include "entry/internal/answer_assembly.h"
+#include "entry/internal/answer_name.h"
 #include "entry/internal/caller_request.h"
 #include "entry/internal/flow_actions.h"
 #include "entry/internal/i_endpoint_directory.h"
 #include "entry/internal/retry_budget.h"
 #include "evidence/crash_evidence.h"
-#include "kernel/hash.h"
 #include "kernel/time.h"
 #include "link/messages.h"
 
@@ -39,18 +40,6 @@
   FlowLimits limits;
 };
 
-/// Names an answer that an agent holds, for a caller who returns for the rest
-/// of it.
-struct AnswerName {
-  std::string node;
-  std::uint64_t incarnation = 0;
-  std::string request;
-
-  /// Returns the text given to callers.
-  std::string Format() const;
-  static std::optional<AnswerName> Parse(std::string_view text);
-};
-
 /// All decisions about one caller's request, from its arrival to its one final
 /// answer. I/O-free; not thread-safe.
 class RequestFlow {
@@ -96,11 +85,12 @@
   void Attempt(kernel::TimePoint now);
   void Submit(const EndpointView& endpoint, kernel::TimePoint now);
   void SubmitKeyed(kernel::TimePoint now);
-  void Reattach(const EndpointView& endpoint, kernel::TimePoint now);
+  /// Asks for the answer from where it broke off.
+  void Reattach(const EndpointView& endpoint);
 
   void On(const link::Started& started, kernel::TimePoint now);
   void On(link::Head& head, kernel::TimePoint now);
-  void On(link::Chunk& chunk, kernel::TimePoint now);
+  void On(const link::Chunk& chunk, kernel::TimePoint now);
   void On(const link::Ended& ended, kernel::TimePoint now);
   template <typename Other>
   void On(const Other& /*message*/, kernel::TimePoint /*now*/) {}
@@ -147,18 +137,11 @@
   std::uint64_t last_retry_after_ms = 0;
   bool revoked = false;
   bool any_unknown = false;  ///< An earlier attempt may have run.
-  bool resumed_part =
-      false;  ///< Began at an offset, so there is no digest of the whole.
-  bool streaming = false;  ///< Parts have been delivered.
-
-  bool head_known = false;
-  int status = 0;
-  http::Headers headers;
-  std::string held;  ///< Received and not yet delivered.
-  std::uint64_t first_offset = 0;
-  std::uint64_t received = 0;      ///< Offset up to which the answer came.
-  std::uint64_t acknowledged = 0;  ///< Offset last told to the agent.
-  std::unique_ptr<kernel::DigestStream> digest;
+  bool resumed = false;      ///< Takes up an answer that another flow began.
+  bool streaming = false;    ///< Parts have been delivered.
+
+  std::unique_ptr<AnswerAssembly> answer;  ///< Of the current attempt.
+  std::uint64_t acknowledged = 0;          ///< Offset last told to the agent.
   FlowActions actions;
 };
 
