--- a/src/entry/internal/entry_service.cc
+++ b/src/entry/internal/entry_service.cc
@@ -263,9 +263,7 @@
   };
   const auto runner =
       std::make_shared<FlowRunner>(std::move(flow), send, exchange.notifier());
-  this->runners.With(id, [&runner](std::vector<RunnerPtr>& following) {
-    following.push_back(runner);
-  });
+  this->flows.Add(id, runner);
   runner->Decide([&start](RequestFlow& decided) { return start(decided); });
   bool answering = true;
   while (answering) {
@@ -284,11 +282,7 @@
       answering = false;
     }
   }
-  this->runners.EraseKeyIf(id, [&runner](std::vector<RunnerPtr>& following) {
-    following.erase(std::remove(following.begin(), following.end(), runner),
-                    following.end());
-    return following.empty();
-  });
+  this->flows.Remove(id, runner);
   const auto took =
       std::chrono::duration<double, std::milli>(kernel::Clock::now() - begun);
   this->metrics->ObserveMillis("banyanlane_request_millis", took.count());
@@ -356,93 +350,6 @@
   exchange.Reply(ToResponse(problem));
 }
 
-void EntryService::OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) {
-  this->heard_peer = true;
-  this->links.Set(link->id(), link);
-  this->endpoint_table.OnLinkUp(link->id(), link->peer(), now);
-  for (link::Evidence& evidence : this->crash_evidence.All(now))
-    link->Send(evidence);
-  const std::string node = link->peer().node;
-  for (const RunnerPtr& runner : this->Runners()) {
-    runner->Decide([&](RequestFlow& flow) { return flow.OnLinkUp(node, now); });
-  }
-}
-
-void EntryService::OnMessage(const link::LinkPtr& link, link::Message message,
-                             kernel::TimePoint now) {
-  if (const auto* heartbeat = std::get_if<link::Heartbeat>(&message)) {
-    this->endpoint_table.OnHeartbeat(link->id(), link->peer().node, *heartbeat,
-                                     now);
-    return;
-  }
-  if (const auto* announce = std::get_if<link::ConfigAnnounce>(&message)) {
-    this->endpoint_table.OnRevision(link->peer().node, announce->revision);
-    return;
-  }
-  if (const auto* evidence = std::get_if<link::Evidence>(&message)) {
-    if (!this->crash_evidence.Merge(*evidence, now)) return;
-    for (const link::LinkPtr& other : this->links.Values()) {
-      if (other->id() != link->id()) other->Send(*evidence);
-    }
-    return;
-  }
-  const std::string* request = nullptr;
-  if (const auto* started = std::get_if<link::Started>(&message))
-    request = &started->request;
-  if (const auto* head = std::get_if<link::Head>(&message))
-    request = &head->request;
-  if (const auto* chunk = std::get_if<link::Chunk>(&message))
-    request = &chunk->request;
-  if (const auto* ended = std::get_if<link::Ended>(&message))
-    request = &ended->request;
-  if (request == nullptr) return;
-  const auto following = this->runners.Find(RequestFlow::FlowIdOf(*request));
-  if (!following) return;
-  for (const RunnerPtr& runner : *following) {
-    runner->Decide([&](RequestFlow& flow) {
-      return flow.OnMessage(link->id(), message, now);
-    });
-  }
-}
-
-void EntryService::OnLinkDown(const link::LinkPtr& link,
-                              kernel::TimePoint now) {
-  this->links.Erase(link->id());
-  this->endpoint_table.OnLinkDown(link->id(), link->peer().node);
-  for (const RunnerPtr& runner : this->Runners()) {
-    runner->Decide(
-        [&](RequestFlow& flow) { return flow.OnLinkDown(link->id(), now); });
-  }
-}
-
-std::vector<EntryService::RunnerPtr> EntryService::Runners() {
-  std::vector<RunnerPtr> all;
-  for (const auto& following : this->runners.Values()) {
-    all.insert(all.end(), following.begin(), following.end());
-  }
-  return all;
-}
-
-void EntryService::OnTick(kernel::TimePoint now) {
-  this->crash_evidence.Expire(now);
-  this->retry_budget.Trim();
-  this->metrics->SetGauge("banyanlane_requests_in_flight",
-                          static_cast<double>(this->runners.Size()));
-  this->metrics->SetGauge("banyanlane_suspected_work",
-                          static_cast<double>(this->crash_evidence.Size()));
-  this->metrics->SetGauge("banyanlane_links",
-                          static_cast<double>(this->links.Size()));
-}
-
-void EntryService::OnInstances(const membership::InstanceListPtr& list) {
-  std::set<std::string> leaving;
-  for (const membership::Instance& instance : list->instances) {
-    if (instance.state == membership::InstanceState::kLeaving)
-      leaving.insert(instance.id);
-  }
-  this->endpoint_table.OnListedLeaving(leaving);
-}
-
 std::string EntryService::Explain(const http::HttpRequest& request,
                                   kernel::TimePoint now) {
   const std::string name = request.Query("profile");
@@ -473,7 +380,7 @@
   const auto kept = std::min(
       this->addresses.Answer(this->membership->Current(), "", true).keep,
       longest / 2);
-  const std::size_t in_flight = this->runners.Size();
+  const std::size_t in_flight = this->flows.Size();
   const std::lock_guard<std::mutex> lock(this->drain_mutex);
   if (!this->draining_since) return "";
   const auto gone = now - *this->draining_since;
--- a/src/entry/internal/entry_service.h
+++ b/src/entry/internal/entry_service.h
@@ -8,7 +8,7 @@
 #include "config/i_config.h"
 #include "entry/internal/address_book.h"
 #include "entry/internal/endpoint_table.h"
-#include "entry/internal/flow_runner.h"
+#include "entry/internal/flow_table.h"
 #include "entry/internal/organisation_limits.h"
 #include "entry/internal/retry_budget.h"
 #include "evidence/crash_evidence.h"
@@ -51,11 +51,9 @@
   std::string Explain(const http::HttpRequest& request, kernel::TimePoint now);
 
   EndpointTable& endpoints() { return this->endpoint_table; }
-  std::size_t InFlight() { return this->runners.Size(); }
+  std::size_t InFlight() { return this->flows.Size(); }
 
  private:
-  using RunnerPtr = std::shared_ptr<FlowRunner>;
-
   void HandleAddresses(http::IHttpExchange& exchange);
   void HandleIssueKey(http::IHttpExchange& exchange);
   void HandleResume(http::IHttpExchange& exchange);
@@ -80,7 +78,6 @@
   /// Adds the key to use when the request is sent again, if its own is spent.
   void OfferNextKey(Problem& problem, const CallerRequest& request);
   void ReplyProblem(http::IHttpExchange& exchange, const Problem& problem);
-  std::vector<RunnerPtr> Runners();
 
   AddressBook addresses;
   EndpointTable endpoint_table;
@@ -90,8 +87,7 @@
   RetryBudget retry_budget;
   OrganisationLimits organisation_limits;
   evidence::CrashEvidence crash_evidence;
-  /// By flow id; a caller who returns adds a second flow for the same answer.
-  kernel::ShardedMap<std::string, std::vector<RunnerPtr>> runners;
+  FlowTable flows;
   kernel::ShardedMap<std::uint64_t, link::LinkPtr> links;
   std::atomic<std::uint64_t> seeds{1};
   kernel::TimePoint started;
