Give a test of held-back engines time on any machine

Excluded: a lost resumption; the agent's log had the cancellation first. Change: grace and deadline of ten minutes in this test; what it checks stays.

--- a/tests/processes/process_test.cc
+++ b/tests/processes/process_test.cc
@@ -459,6 +459,11 @@
   std::string narrow = kConfig;
   narrow.replace(narrow.find("resume_grace_ms"), 0,
                  "unread_window_bytes = 1024\n");
+  // Long enough for any machine: the engine's own buffers have to fill first.
+  narrow.replace(narrow.find("resume_grace_ms = 10000"), 23,
+                 "resume_grace_ms = 600000");
+  narrow.replace(narrow.find("deadline_ms = 20000"), 19,
+                 "deadline_ms = 600000");
   fleet.StartPlatform(narrow);
   fleet.AddEndpoint("m1", "engine", "model");
   fleet.AddEntry("e1");
