Reply outside the lock in the service stand-in

Cause: tell_unknown_when_the_agent_* failed once (73 passed, 1 failed): the agent's and entry's logs show a close submitted and its deadline passing, and the test's own reads of the stand-in hanging for 25 s each. The stand-in held its mutex while a reply suspended the coroutine; the next request on its one thread then waited for that mutex for good. Excluded: agent and entry, whose links stayed up; the product's handlers, read for the same pattern, which reply without a lock. Change: the text is made under the lock and sent without it.

--- a/tests/standins/service_standin.cc
+++ b/tests/standins/service_standin.cc
@@ -21,8 +21,7 @@
       return;
     }
     if (path == "/control/executions") {
-      const std::lock_guard<std::mutex> lock(this->mutex);
-      exchange.Reply({200, {}, json(this->executions).dump()});
+      exchange.Reply({200, {}, this->ExecutionsText()});
       return;
     }
     int count = 0;
@@ -45,6 +44,13 @@
   }
 
  private:
+  /// A copy: a reply suspends its coroutine, and must not do so with the lock
+  /// held.
+  std::string ExecutionsText() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return json(this->executions).dump();
+  }
+
   std::mutex mutex;
   std::map<std::string, int> executions;
 };
