--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -16,7 +16,7 @@
 #include "kernel/event_log.h"
 
 ABSL_FLAG(std::string, settings, "",
-          "INI file with the settings of an entry or agent");
+          "INI file with the settings of the role");
 ABSL_FLAG(std::string, profile, "", "profile, for explain");
 ABSL_FLAG(std::string, prefix, "", "text of the first message, for explain");
 
@@ -33,8 +33,9 @@
 
   banyanlane entry --settings=FILE     run an entry: takes requests from callers
   banyanlane agent --settings=FILE     run an agent: the only path to one endpoint
+  banyanlane gateway --settings=FILE   run a gateway: an entry that calls endpoints itself
   banyanlane check FILE                check a configuration before it is published
-  banyanlane settings entry|agent      list the settings of a role
+  banyanlane settings ROLE             list the settings of entry, agent or gateway
   banyanlane events                    list the log events
   banyanlane status ADDRESS            show a live process, by its admin address
   banyanlane audit ADDRESS             show its latest changes
@@ -86,9 +87,12 @@
 }
 
 int ListSettings(const std::string& role_name) {
-  const kernel::Role role =
-      role_name == "agent" ? kernel::Role::kAgent : kernel::Role::kEntry;
-  for (const auto& field : kernel::ModuleRegistry::Instance().SchemaOf(role)) {
+  const auto role = kernel::ParseRole(role_name);
+  if (!role) {
+    std::cerr << "banyanlane: there is no role '" << role_name << "'\n";
+    return kExitUsage;
+  }
+  for (const auto& field : kernel::ModuleRegistry::Instance().SchemaOf(*role)) {
     const std::string fallback =
         field.required ? "required" : "default '" + field.fallback + "'";
     std::cout << "[" << field.section << "] " << field.key << " (" << fallback
@@ -123,8 +127,7 @@
 
 int RunCommand(const std::vector<std::string>& words) {
   const std::string command = words.empty() ? "" : words[0];
-  if (command == "entry") return RunRole(kernel::Role::kEntry);
-  if (command == "agent") return RunRole(kernel::Role::kAgent);
+  if (const auto role = kernel::ParseRole(command)) return RunRole(*role);
   if (command == "events") return ListEvents();
   if (words.size() == 2) {
     if (command == "check") return CheckConfig(words[1]);
--- /dev/null
+++ b/src/catalog/catalog_module.cc
@@ -0,0 +1,148 @@
+#include <atomic>
+#include <memory>
+#include <vector>
+
+#include "catalog/internal/follower_driver.h"
+#include "http/i_http_runtime.h"
+#include "kernel/event_log.h"
+#include "kernel/hash.h"
+#include "kernel/module_registry.h"
+#include "link/i_link.h"
+
+namespace banyanlane::catalog {
+namespace {
+
+using kernel::Role;
+using kernel::SettingKind;
+
+/// How often pauses are checked for their end.
+constexpr kernel::Millis kTickPeriod{50};
+
+/// Begins watches anew when a link is lost: what silenced the link may have
+/// silenced them as well.
+class WatchRenewal : public link::ILinkObserver {
+ public:
+  explicit WatchRenewal(std::vector<std::shared_ptr<FollowerDriver>> drivers)
+      : drivers(std::move(drivers)) {}
+
+  void OnLinkUp(const link::LinkPtr& /*link*/,
+                kernel::TimePoint /*now*/) override {}
+  void OnMessage(const link::LinkPtr& /*link*/, link::Message /*message*/,
+                 kernel::TimePoint /*now*/) override {}
+  void OnLinkDown(const link::LinkPtr& /*link*/,
+                  kernel::TimePoint now) override {
+    for (const auto& driver : this->drivers) driver->Renew(now);
+  }
+
+ private:
+  std::vector<std::shared_ptr<FollowerDriver>> drivers;
+};
+
+/// Follows the platform's store, and offers what it reads to the stores of this
+/// process.
+class CatalogModule : public kernel::IModule {
+ public:
+  void Export(kernel::ModuleContext& /*context*/) override {}
+
+  void Resolve(kernel::ModuleContext& context) override {
+    const auto catalog = context.Resolve<ICatalog>();
+    this->reader = context.Resolve<ICatalogReader>();
+    this->config = context.Resolve<config::IConfigStore>();
+    this->membership = context.Resolve<membership::IMembership>();
+    this->runtime = context.Resolve<http::IHttpRuntime>();
+    CatalogLimits limits;
+    limits.watch =
+        kernel::Millis(context.settings().Integer("platform", "watch_ms"));
+    const std::uint64_t seed = kernel::Hash64(kernel::RandomId());
+    this->config_driver = std::make_shared<FollowerDriver>(
+        catalog, this->reader->ConfigPrefix(), limits, seed,
+        [this](const CatalogSnapshot& items) { this->OfferConfig(items); });
+    this->endpoint_driver = std::make_shared<FollowerDriver>(
+        catalog, this->reader->EndpointPrefix(), limits, seed + 1,
+        [this](const CatalogSnapshot& items) { this->OfferEndpoints(items); });
+    context.Resolve<link::ILinkHub>()->Subscribe(std::make_shared<WatchRenewal>(
+        std::vector{this->config_driver, this->endpoint_driver}));
+    this->RenewWhenPeersAreAhead();
+  }
+
+  void Start() override {
+    this->Tick(kernel::Clock::now());
+    this->runtime->Every(kTickPeriod,
+                         [this](kernel::TimePoint now) { this->Tick(now); });
+  }
+
+  void Stop() override {
+    this->config_driver->Stop();
+    this->endpoint_driver->Stop();
+  }
+
+ private:
+  /// A peer that knows more than a watch has told shows that the watch may be
+  /// silent.
+  void RenewWhenPeersAreAhead() {
+    this->config->Subscribe([this](const config::ConfigPtr& adopted) {
+      if (adopted->revision > this->config_offered)
+        this->config_driver->Renew(kernel::Clock::now());
+    });
+    this->membership->Subscribe(
+        [this](const membership::InstanceListPtr& adopted) {
+          if (adopted->version > this->list_offered)
+            this->endpoint_driver->Renew(kernel::Clock::now());
+        });
+  }
+
+  void Tick(kernel::TimePoint now) {
+    this->config_driver->OnTick(now);
+    this->endpoint_driver->OnTick(now);
+  }
+
+  void OfferConfig(const CatalogSnapshot& items) {
+    for (const CatalogItem& item : items.items) {
+      const auto offer = this->reader->ReadConfig(item);
+      if (const kernel::Error* error = kernel::ErrorOf(offer)) {
+        kernel::LogEvent(kernel::EventId::kCatalogItemIgnored,
+                         {{"key", item.key}, {"reason", error->detail}});
+        continue;
+      }
+      this->config_offered = std::get<config::ConfigOffer>(offer).revision;
+      this->config->Offer(std::get<config::ConfigOffer>(offer), "platform",
+                          kernel::Clock::now());
+    }
+  }
+
+  void OfferEndpoints(const CatalogSnapshot& items) {
+    std::vector<membership::Instance> endpoints;
+    for (const CatalogItem& item : items.items) {
+      auto endpoint = this->reader->ReadEndpoint(item);
+      if (const kernel::Error* error = kernel::ErrorOf(endpoint)) {
+        kernel::LogEvent(kernel::EventId::kCatalogItemIgnored,
+                         {{"key", item.key}, {"reason", error->detail}});
+        continue;
+      }
+      endpoints.push_back(std::get<membership::Instance>(std::move(endpoint)));
+    }
+    this->list_offered = items.version;
+    this->membership->Offer(
+        membership::FormatInstanceList(items.version, endpoints), "platform",
+        kernel::Clock::now());
+  }
+
+  std::shared_ptr<ICatalogReader> reader;
+  std::shared_ptr<config::IConfigStore> config;
+  std::shared_ptr<membership::IMembership> membership;
+  std::shared_ptr<http::IHttpRuntime> runtime;
+  std::shared_ptr<FollowerDriver> config_driver;
+  std::shared_ptr<FollowerDriver> endpoint_driver;
+  std::atomic<std::uint64_t> config_offered{0};
+  std::atomic<std::uint64_t> list_offered{0};
+};
+
+const kernel::ModuleRegistration kRegistration(
+    {"catalog",
+     {Role::kGateway},
+     kernel::StartOrder::kService,
+     {},
+     [] { return std::make_unique<CatalogModule>(); }});
+
+}  // namespace
+}  // namespace banyanlane::catalog
--- a/src/config/config_module.cc
+++ b/src/config/config_module.cc
@@ -18,14 +18,19 @@
 class ConfigModule : public kernel::IModule {
  public:
   void Export(kernel::ModuleContext& context) override {
-    context.Export<IConfigStore>(
-        std::make_shared<ConfigStore>(context.Resolve<kernel::AuditTrail>()));
+    auto format = context.Find<const IConfigFormat>();
+    if (!format) format = MakeIniFormat();
+    context.Export<IConfigStore>(std::make_shared<ConfigStore>(
+        context.Resolve<kernel::AuditTrail>(), std::move(format)));
   }
 
   void Resolve(kernel::ModuleContext& context) override {
     const auto store = context.Resolve<IConfigStore>();
     const auto membership = context.Resolve<membership::IMembership>();
-    const auto relay = std::make_shared<ConfigRelay>(store, membership);
+    const auto relay = std::make_shared<ConfigRelay>(
+        store, membership,
+        kernel::Millis(
+            context.settings().Integer("platform", "patience_ms")));
     store->Subscribe(
         [relay](const ConfigPtr& config) { relay->AnnounceConfig(config); });
     membership->Subscribe(
@@ -56,12 +61,15 @@
 
 const kernel::ModuleRegistration kRegistration(
     {"config",
-     {Role::kEntry, Role::kAgent},
+     {Role::kEntry, Role::kAgent, Role::kGateway},
      kernel::StartOrder::kConfig,
      {{"platform", "addresses", SettingKind::kList, "", false, 0, 0,
        "Addresses of the platform's service. Only entries read it."},
       {"platform", "watch_ms", SettingKind::kInteger, "3000", false, 100,
-       60'000, "Longest wait of one read for a change."}},
+       60'000, "Longest wait of one read for a change."},
+      {"platform", "patience_ms", SettingKind::kInteger, "0", false, 0, 60'000,
+       "How long a change may take to come from the platform before a peer is "
+       "asked for it."}},
      [] { return std::make_unique<ConfigModule>(); }});
 
 }  // namespace
--- a/src/config/i_config.h
+++ b/src/config/i_config.h
@@ -17,6 +17,15 @@
   std::string value;
 };
 
+/// Reads one text form of a configuration.
+class IConfigFormat {
+ public:
+  virtual ~IConfigFormat() = default;
+  /// Parses and checks `text`; `origin` names it in errors.
+  virtual kernel::Result<ConfigSnapshot> Parse(
+      std::string_view text, std::string_view origin) const = 0;
+};
+
 /// What became of an offered revision.
 enum class OfferOutcome { kAdopted, kSame, kOlder, kRefused };
 
@@ -42,6 +51,9 @@
 kernel::Result<ConfigSnapshot> ParseConfig(std::string_view text,
                                            std::string_view origin);
 
+/// Returns the format of ParseConfig.
+std::shared_ptr<const IConfigFormat> MakeIniFormat();
+
 /// Largest value the platform holds, in bytes.
 inline constexpr std::size_t kMaxConfigBytes = std::size_t{1024} * 1024;
 
--- a/src/config/internal/config_relay.cc
+++ b/src/config/internal/config_relay.cc
@@ -9,8 +9,11 @@
 }  // namespace
 
 ConfigRelay::ConfigRelay(std::shared_ptr<IConfigStore> store,
-                         std::shared_ptr<membership::IMembership> membership)
-    : store(std::move(store)), membership(std::move(membership)) {}
+                         std::shared_ptr<membership::IMembership> membership,
+                         kernel::Millis patience)
+    : store(std::move(store)),
+      membership(std::move(membership)),
+      patience(patience) {}
 
 void ConfigRelay::OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) {
   {
@@ -56,7 +59,7 @@
                                  kernel::TimePoint now) {
   const ConfigPtr current = this->store->Current();
   const std::uint64_t have = current ? current->revision : 0;
-  if (revision > have && this->BeginPull(this->config_pull, revision, now)) {
+  if (revision > have && this->BeginPull(this->config_pull, have, revision, now)) {
     link->Send(link::ConfigPull{have});
   }
 }
@@ -65,18 +68,23 @@
                              kernel::TimePoint now) {
   const auto current = this->membership->Current();
   const std::uint64_t have = current ? current->version : 0;
-  if (version > have && this->BeginPull(this->list_pull, version, now)) {
+  if (version > have && this->BeginPull(this->list_pull, have, version, now)) {
     link->Send(link::ListPull{have});
   }
 }
 
-bool ConfigRelay::BeginPull(Pull& pull, std::uint64_t wanted,
-                            kernel::TimePoint now) {
+bool ConfigRelay::BeginPull(Pull& pull, std::uint64_t have,
+                            std::uint64_t wanted, kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  const bool on_its_way =
-      pull.wanted >= wanted && now - pull.asked_at < kPullTimeout;
-  if (on_its_way) return false;
-  pull.wanted = wanted;
+  if (wanted > pull.wanted) {
+    const bool caught_up = have >= pull.wanted;
+    if (caught_up) pull.seen_at = now;
+    pull.wanted = wanted;
+    pull.asked = false;
+  }
+  if (now - pull.seen_at < this->patience) return false;
+  if (pull.asked && now - pull.asked_at < kPullTimeout) return false;
+  pull.asked = true;
   pull.asked_at = now;
   return true;
 }
--- a/src/config/internal/config_relay.h
+++ b/src/config/internal/config_relay.h
@@ -14,8 +14,11 @@
 /// here, and pulls what is newer there from one peer at a time.
 class ConfigRelay : public link::ILinkObserver {
  public:
+  /// @param patience how long a change that a peer has may take to arrive from
+  /// the platform before the peer is asked for it.
   ConfigRelay(std::shared_ptr<IConfigStore> store,
-              std::shared_ptr<membership::IMembership> membership);
+              std::shared_ptr<membership::IMembership> membership,
+              kernel::Millis patience = kernel::Millis{0});
 
   void OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) override;
   void OnMessage(const link::LinkPtr& link, link::Message message,
@@ -28,10 +31,13 @@
   void AnnounceList(const membership::InstanceListPtr& list);
 
  private:
-  /// A pull that is on its way, so that no second peer sends the same value.
+  /// What peers have and this process lacks. One pull is on its way at a time,
+  /// so that no second peer sends the same value.
   struct Pull {
     std::uint64_t wanted = 0;
+    kernel::TimePoint seen_at;  ///< When a peer was first seen ahead.
     kernel::TimePoint asked_at;
+    bool asked = false;  ///< For `wanted`.
   };
 
   void OnPeerRevision(const link::LinkPtr& link, std::uint64_t revision,
@@ -39,13 +45,15 @@
   void OnPeerList(const link::LinkPtr& link, std::uint64_t version,
                   kernel::TimePoint now);
   /// @return whether to ask for `wanted` now.
-  bool BeginPull(Pull& pull, std::uint64_t wanted, kernel::TimePoint now);
+  bool BeginPull(Pull& pull, std::uint64_t have, std::uint64_t wanted,
+                 kernel::TimePoint now);
   void SendConfig(const link::LinkPtr& link) const;
   void SendList(const link::LinkPtr& link) const;
   std::vector<link::LinkPtr> Links();
 
   std::shared_ptr<IConfigStore> store;
   std::shared_ptr<membership::IMembership> membership;
+  kernel::Millis patience;
   std::mutex mutex;
   std::map<std::uint64_t, link::LinkPtr> links;
   Pull config_pull;
--- a/src/config/internal/config_store.cc
+++ b/src/config/internal/config_store.cc
@@ -8,8 +8,9 @@
 using kernel::AuditKind;
 using kernel::EventId;
 
-ConfigStore::ConfigStore(std::shared_ptr<kernel::AuditTrail> audit)
-    : audit(std::move(audit)) {}
+ConfigStore::ConfigStore(std::shared_ptr<kernel::AuditTrail> audit,
+                         std::shared_ptr<const IConfigFormat> format)
+    : audit(std::move(audit)), format(std::move(format)) {}
 
 ConfigPtr ConfigStore::Current() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
@@ -33,7 +34,8 @@
     return this->Refuse(offer, source, "digest does not match the value");
   }
   auto parsed =
-      ParseConfig(offer.value, "revision " + std::to_string(offer.revision));
+      this->format->Parse(offer.value,
+                          "revision " + std::to_string(offer.revision));
   if (const kernel::Error* error = kernel::ErrorOf(parsed)) {
     return this->Refuse(offer, source, error->detail);
   }
--- a/src/config/internal/config_store.h
+++ b/src/config/internal/config_store.h
@@ -12,7 +12,9 @@
 /// Adopts only checked revisions higher than any it has seen.
 class ConfigStore : public IConfigStore {
  public:
-  explicit ConfigStore(std::shared_ptr<kernel::AuditTrail> audit);
+  explicit ConfigStore(
+      std::shared_ptr<kernel::AuditTrail> audit,
+      std::shared_ptr<const IConfigFormat> format = MakeIniFormat());
 
   ConfigPtr Current() const override;
   OfferOutcome Offer(const ConfigOffer& offer, std::string_view source,
@@ -26,6 +28,7 @@
                                   std::string_view source);
 
   std::shared_ptr<kernel::AuditTrail> audit;
+  std::shared_ptr<const IConfigFormat> format;
   mutable std::mutex mutex;
   std::mutex adoption_mutex;  ///< Held through a whole adoption, so observers
                               ///< see them in order.
--- a/src/config/internal/profile_parser.cc
+++ b/src/config/internal/profile_parser.cc
@@ -154,8 +154,20 @@
   return group;
 }
 
+class IniFormat : public IConfigFormat {
+ public:
+  kernel::Result<ConfigSnapshot> Parse(std::string_view text,
+                                       std::string_view origin) const override {
+    return ParseConfig(text, origin);
+  }
+};
+
 }  // namespace
 
+std::shared_ptr<const IConfigFormat> MakeIniFormat() {
+  return std::make_shared<IniFormat>();
+}
+
 std::string_view WorkClassName(WorkClass work_class) {
   return kernel::NameOf(kWorkClassNames, work_class);
 }
--- a/src/config/profile.h
+++ b/src/config/profile.h
@@ -3,8 +3,10 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace banyanlane::config {
 
@@ -17,6 +19,12 @@
 /// Returns the name of `work_class` as written in a profile.
 std::string_view WorkClassName(WorkClass work_class);
 
+/// One of the services that a profile's work is divided over.
+struct ServiceShare {
+  std::string service;
+  std::int64_t weight = 1;
+};
+
 /// One operator-published class of work and how it is treated.
 struct Profile {
   std::string name;
@@ -42,6 +50,29 @@
       0;  ///< How long an answer waits for its caller to return.
   std::int64_t unread_window_bytes =
       0;  ///< Output ahead of the caller before a pause.
+
+  // Only gateways use the rest.
+  std::string host;  ///< Host that callers name; any when empty.
+  std::vector<ServiceShare> split;  ///< Replaces `service` when not empty.
+  bool streaming = false;           ///< The answer is a series of events.
+  bool resumable = false;   ///< A stream can go on at another endpoint.
+  bool needs_key = false;   ///< Callers show an organisation's key.
+  std::int64_t goal_ms = 0;  ///< An answer in this time has its full worth.
+  std::int64_t urgency = 0;  ///< 0 comes first.
+};
+
+/// Who is served, and under which keys.
+struct Organisation {
+  std::string name;
+  std::optional<std::int64_t> urgency;  ///< Goes before that of the profile.
+};
+
+/// What callers may send, and how long they may take.
+struct CallerLimits {
+  std::int64_t header_bytes = 16 * 1024;
+  std::int64_t body_bytes = std::int64_t{4} * 1024 * 1024;
+  std::int64_t header_timeout_ms = 10'000;
+  std::int64_t idle_timeout_ms = 60'000;
 };
 
 /// How one expert-parallel group weighs skew against the cost of moves.
@@ -58,6 +89,8 @@
   std::string value;   ///< The text as published.
   std::map<std::string, Profile> profiles;
   std::map<std::string, GroupPolicy> groups;
+  std::map<std::string, Organisation> organisations_by_key;
+  CallerLimits caller_limits;
 
   /// Returns the profile called `name`, or null.
   const Profile* FindProfile(std::string_view name) const;
--- /dev/null
+++ b/src/direct/direct_module.cc
@@ -0,0 +1,151 @@
+#include <algorithm>
+#include <memory>
+#include <stdexcept>
+
+#include "admin/i_status_board.h"
+#include "direct/internal/direct_service.h"
+#include "kernel/event_log.h"
+#include "kernel/hash.h"
+#include "kernel/module_registry.h"
+
+namespace banyanlane::direct {
+namespace {
+
+using kernel::Role;
+using kernel::SettingKind;
+
+/// How often peers are told of the requests in flight.
+constexpr kernel::Millis kPublishPeriod{500};
+
+/// The gateway role: takes callers' requests and sends them to endpoints.
+class DirectModule : public kernel::IModule {
+ public:
+  void Export(kernel::ModuleContext& /*context*/) override {}
+
+  void Resolve(kernel::ModuleContext& context) override {
+    const kernel::Settings& settings = context.settings();
+    this->listen = settings.Text("gateway", "listen");
+    this->runtime = context.Resolve<http::IHttpRuntime>();
+    this->store = context.Resolve<config::IConfigStore>();
+    const auto membership = context.Resolve<membership::IMembership>();
+    this->service = std::make_shared<DirectService>(
+        ReadSettings(settings), this->runtime,
+        context.Resolve<const ICallerProtocol>(),
+        context.Resolve<peers::IPeers>(), membership,
+        context.Resolve<kernel::Metrics>(), kernel::Hash64(kernel::RandomId()));
+    context.Export<IGateway>(this->service);
+    this->store->Subscribe(
+        [this](const config::ConfigPtr& config) { this->OnConfig(config); });
+    membership->Subscribe([this](const membership::InstanceListPtr& list) {
+      this->service->OnInstances(list, kernel::Clock::now());
+    });
+    this->AddStatus(*context.Resolve<admin::IStatusBoard>());
+  }
+
+  void Start() override {
+    auto opened = this->runtime->Listen(this->listen, this->service,
+                                        http::ServerLimits{});
+    if (const kernel::Error* error = kernel::ErrorOf(opened))
+      throw std::runtime_error(kernel::Describe(*error));
+    this->server =
+        std::get<std::shared_ptr<http::IHttpServer>>(std::move(opened));
+    if (const config::ConfigPtr config = this->store->Current())
+      this->ApplyLimits(config->caller_limits);
+    this->runtime->Every(kPublishPeriod,
+                         [service = this->service](kernel::TimePoint now) {
+                           service->OnTick(now);
+                         });
+    kernel::LogEvent(kernel::EventId::kProcessReady,
+                     {{"listen", this->listen}});
+  }
+
+  void Drain() override { this->service->Drain(kernel::Clock::now()); }
+  std::string Pending() override {
+    return this->service->Pending(kernel::Clock::now());
+  }
+  void Stop() override { this->server->StopAccepting(); }
+
+ private:
+  static GatewaySettings ReadSettings(const kernel::Settings& settings) {
+    GatewaySettings read;
+    const auto millis = [&settings](const char* key, double unit_ms = 1) {
+      return kernel::Millis(static_cast<std::int64_t>(
+          settings.Number("gateway", key) * unit_ms));
+    };
+    read.caller_address = settings.Text("gateway", "address");
+    read.failure_domain = settings.Text("node", "failure_domain");
+    read.address_keep = millis("address_keep_ms");
+    read.grace = millis("grace_s", kMillisPerSecond);
+    read.limits.silence = millis("stall_ms") + kStallMargin;
+    read.retries.ratio = settings.Number("gateway", "retry_ratio");
+    read.retries.window = millis("retry_window_s", kMillisPerSecond);
+    read.retries.slack =
+        static_cast<std::int64_t>(settings.Number("gateway", "retry_slack"));
+    return read;
+  }
+
+  void OnConfig(const config::ConfigPtr& config) {
+    this->service->OnConfig(config);
+    if (this->server) this->ApplyLimits(config->caller_limits);
+  }
+
+  void ApplyLimits(const config::CallerLimits& limits) {
+    http::ServerLimits applied;
+    applied.header_bytes = static_cast<std::uint32_t>(limits.header_bytes);
+    applied.body_bytes = static_cast<std::uint64_t>(limits.body_bytes);
+    applied.read_timeout_ms =
+        std::max(applied.read_timeout_ms,
+                 static_cast<std::uint32_t>(limits.header_timeout_ms));
+    applied.idle_timeout_ms =
+        static_cast<std::uint32_t>(limits.idle_timeout_ms);
+    this->server->SetLimits(applied);
+  }
+
+  void AddStatus(admin::IStatusBoard& board) {
+    board.AddSection("gateway", [this] {
+      const config::ConfigPtr config = this->store->Current();
+      return std::vector<std::string>{
+          "revision=" + std::to_string(config ? config->revision : 0),
+          "in_flight=" + std::to_string(this->service->InFlight())};
+    });
+    board.AddSection("endpoints", [this] {
+      return this->service->endpoints().Describe(kernel::Clock::now());
+    });
+  }
+
+  static constexpr double kMillisPerSecond = 1'000;
+  /// Time for the answer of an endpoint that has waited for a lost one.
+  static constexpr kernel::Millis kStallMargin{100};
+
+  std::string listen;
+  std::shared_ptr<config::IConfigStore> store;
+  std::shared_ptr<http::IHttpRuntime> runtime;
+  std::shared_ptr<DirectService> service;
+  std::shared_ptr<http::IHttpServer> server;
+};
+
+const kernel::ModuleRegistration kRegistration(
+    {"direct",
+     {Role::kGateway},
+     kernel::StartOrder::kService,
+     {{"gateway", "listen", SettingKind::kText, "", true, 0, 0,
+       "Where callers connect."},
+      {"gateway", "address", SettingKind::kText, "", true, 0, 0,
+       "Address told to callers."},
+      {"gateway", "address_keep_ms", SettingKind::kInteger, "1000", false, 100,
+       3'600'000, "How long callers may keep an answer about addresses."},
+      {"gateway", "grace_s", SettingKind::kNumber, "8", false, 1, 3'600,
+       "How long a graceful shutdown may take."},
+      {"gateway", "stall_ms", SettingKind::kNumber, "1500", false, 0, 60'000,
+       "How long endpoints wait for a lost one that they depend on."},
+      {"gateway", "retry_ratio", SettingKind::kNumber, "0.2", false, 0, 1,
+       "Further sendings to a service, as a part of its requests."},
+      {"gateway", "retry_window_s", SettingKind::kNumber, "10", false, 1, 600,
+       "Time over which further sendings are counted."},
+      {"gateway", "retry_slack", SettingKind::kNumber, "10", false, 0,
+       1'000'000,
+       "Further sendings allowed besides, over all gateways together."}},
+     [] { return std::make_unique<DirectModule>(); }});
+
+}  // namespace
+}  // namespace banyanlane::direct
--- /dev/null
+++ b/src/direct/i_gateway.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "kernel/time.h"
+
+namespace banyanlane::direct {
+
+/// Addresses that a caller may use, and for how long.
+struct GatewayAddresses {
+  std::vector<std::string> addresses;
+  kernel::Millis keep{0};
+};
+
+/// What others ask a gateway about itself and its peers.
+class IGateway {
+ public:
+  virtual ~IGateway() = default;
+
+  /// Returns whether this gateway takes requests.
+  virtual bool IsReady(kernel::TimePoint now) = 0;
+
+  /// Returns the gateways that a caller in `failure_domain` should use.
+  virtual GatewayAddresses AddressesFor(const std::string& failure_domain,
+                                        kernel::TimePoint now) = 0;
+};
+
+}  // namespace banyanlane::direct
--- /dev/null
+++ b/src/direct/internal/direct_service.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "config/i_config.h"
+#include "direct/i_caller_protocol.h"
+#include "direct/i_gateway.h"
+#include "direct/internal/direct_runner.h"
+#include "direct/internal/endpoint_pool.h"
+#include "direct/internal/retry_allowance.h"
+#include "direct/internal/route_table.h"
+#include "direct/internal/waiting_line.h"
+#include "http/i_http_handler.h"
+#include "http/i_http_runtime.h"
+#include "kernel/metrics.h"
+#include "kernel/sharded_map.h"
+#include "membership/instances.h"
+#include "peers/i_peers.h"
+
+namespace banyanlane::direct {
+
+/// What a gateway is told by its settings.
+struct GatewaySettings {
+  std::string caller_address;
+  std::string failure_domain;
+  kernel::Millis address_keep{0};
+  /// How long a graceful shutdown may take.
+  kernel::Millis grace{0};
+  RetryLimits retries;
+  DirectLimits limits;
+};
+
+/// Answers callers by sending their requests straight to endpoints.
+class DirectService : public http::IHttpHandler, public IGateway {
+ public:
+  DirectService(GatewaySettings settings,
+                std::shared_ptr<http::IHttpRuntime> runtime,
+                std::shared_ptr<const ICallerProtocol> protocol,
+                std::shared_ptr<peers::IPeers> peers,
+                std::shared_ptr<membership::IMembership> membership,
+                std::shared_ptr<kernel::Metrics> metrics, std::uint64_t seed);
+
+  void Handle(http::IHttpExchange& exchange) override;
+
+  bool IsReady(kernel::TimePoint now) override;
+  GatewayAddresses AddressesFor(const std::string& failure_domain,
+                                kernel::TimePoint now) override;
+
+  void OnConfig(const config::ConfigPtr& config);
+  void OnInstances(const membership::InstanceListPtr& list,
+                   kernel::TimePoint now);
+  /// Tells peers how things stand, and lets those in with room.
+  void OnTick(kernel::TimePoint now);
+
+  void Drain(kernel::TimePoint now);
+  std::string Pending(kernel::TimePoint now);
+
+  EndpointPool& endpoints() { return this->pool; }
+  std::size_t InFlight() { return this->runners.Size(); }
+
+ private:
+  /// A refusal before anything was sent.
+  struct Rejection {
+    int status = 0;
+    std::string reason;
+    std::int64_t retry_after_ms = -1;
+  };
+
+  std::variant<DirectWork, Rejection> Check(const http::HttpRequest& request,
+                                            const CallerHead& head,
+                                            kernel::TimePoint now);
+  std::string DrawService(const config::Profile& profile);
+  void Run(http::IHttpExchange& exchange, DirectWork work);
+  /// Passes actions to the caller. @return whether the answer goes on.
+  bool Deliver(http::IHttpExchange& exchange, DirectRunner& runner,
+               DirectActions actions);
+  void Reject(http::IHttpExchange& exchange, const Rejection& rejection,
+              const std::string& request_id);
+  /// Sends the first of those that wait while there is room.
+  void LetIn(const std::string& service, kernel::TimePoint now);
+  std::shared_ptr<const RouteTable> Routes();
+  std::optional<kernel::TimePoint> LeavingSince();
+  void Publish(kernel::TimePoint now);
+
+  GatewaySettings settings;
+  std::shared_ptr<http::IHttpRuntime> runtime;
+  std::shared_ptr<const ICallerProtocol> protocol;
+  std::shared_ptr<peers::IPeers> peers;
+  std::shared_ptr<membership::IMembership> membership;
+  std::shared_ptr<kernel::Metrics> metrics;
+  EndpointPool pool;
+  RetryAllowance retries;
+  WaitingLine line;
+  std::atomic<std::uint64_t> seeds;
+  /// Runners under way, by number.
+  kernel::ShardedMap<std::uint64_t, std::shared_ptr<DirectRunner>> runners;
+  /// Runners that wait for room, by their ticket in the line.
+  kernel::ShardedMap<std::uint64_t, std::shared_ptr<DirectRunner>> waiting;
+  std::mutex mutex;  ///< Of what follows.
+  std::shared_ptr<const RouteTable> routes;
+  std::optional<kernel::TimePoint> leaving_since;
+};
+
+}  // namespace banyanlane::direct
--- /dev/null
+++ b/src/direct/internal/endpoint_pool.cc
@@ -0,0 +1,240 @@
+#include "direct/internal/endpoint_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "kernel/enum_names.h"
+
+namespace banyanlane::direct {
+namespace {
+
+constexpr kernel::EnumNames<AttemptResult, 7> kResultNames = {{
+    {AttemptResult::kAnswered, "answered"},
+    {AttemptResult::kCancelled, "cancelled"},
+    {AttemptResult::kFull, "full"},
+    {AttemptResult::kReplaced, "replaced"},
+    {AttemptResult::kUnreachable, "unreachable"},
+    {AttemptResult::kBroken, "broken"},
+    {AttemptResult::kFailed, "failed"},
+}};
+
+/// Weight of the newest answer in the moving share of failures.
+constexpr double kFailureWeight = 0.2;
+/// Doublings of an ejection after which it has surely reached its bound.
+constexpr int kMostDoublings = 6;
+/// Loads this close are the same: counts elsewhere are some hundred ms old.
+constexpr double kLoadStep = 0.05;
+
+bool TakesWork(const membership::Instance& instance) {
+  return instance.state == membership::InstanceState::kLive;
+}
+
+}  // namespace
+
+std::string_view AttemptResultName(AttemptResult result) {
+  return kernel::NameOf(kResultNames, result);
+}
+
+EndpointPool::EndpointPool(std::string failure_domain, const PoolLimits& limits,
+                           std::uint64_t seed, InFlightElsewhere elsewhere)
+    : failure_domain(std::move(failure_domain)),
+      limits(limits),
+      seed(seed),
+      elsewhere(std::move(elsewhere)) {}
+
+std::shared_ptr<EndpointPool::Service> EndpointPool::Find(
+    const std::string& service) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->services.find(service);
+  return found == this->services.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<EndpointPool::Service> EndpointPool::FindOrAdd(
+    const std::string& service) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  auto& found = this->services[service];
+  if (!found) {
+    found = std::make_shared<Service>();
+    found->random.seed(this->seed + this->services.size());
+  }
+  return found;
+}
+
+void EndpointPool::OnInstances(const membership::InstanceList& list) {
+  std::map<std::string, std::vector<membership::Instance>> by_service;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (const auto& entry : this->services) by_service[entry.first];
+  }
+  for (membership::Instance& endpoint :
+       list.OfRole(membership::InstanceRole::kEndpoint)) {
+    by_service[endpoint.service].push_back(std::move(endpoint));
+  }
+  for (auto& [name, endpoints] : by_service) {
+    const auto service = this->FindOrAdd(name);
+    const std::lock_guard<std::mutex> lock(service->mutex);
+    for (auto& entry : service->endpoints) entry.second.listed = false;
+    for (membership::Instance& instance : endpoints) {
+      Endpoint& known = service->endpoints[instance.id];
+      known.listed = true;
+      known.instance = std::move(instance);
+    }
+    for (auto it = service->endpoints.begin();
+         it != service->endpoints.end();) {
+      const bool forget = !it->second.listed && it->second.in_flight == 0;
+      it = forget ? service->endpoints.erase(it) : std::next(it);
+    }
+  }
+}
+
+std::int64_t EndpointPool::SlotsOf(const Endpoint& endpoint) const {
+  return endpoint.instance.slots > 0 ? endpoint.instance.slots
+                                     : this->limits.slots_when_unknown;
+}
+
+std::optional<double> EndpointPool::LoadOf(const Endpoint& endpoint,
+                                           kernel::TimePoint now) const {
+  if (now < endpoint.full_until) return std::nullopt;
+  const auto slots = static_cast<double>(this->SlotsOf(endpoint));
+  const auto taken = static_cast<double>(
+      endpoint.in_flight + this->elsewhere(endpoint.instance.id));
+  const double most = std::ceil(slots * (1 + this->limits.waiting_part));
+  if (taken >= most) return std::nullopt;
+  const bool far = endpoint.instance.failure_domain != this->failure_domain;
+  return taken / slots + (far ? this->limits.distance_penalty : 0) +
+         this->limits.failure_penalty * endpoint.failing;
+}
+
+EndpointPool::Endpoint* EndpointPool::Best(Service& service,
+                                           const std::set<std::string>& avoid,
+                                           kernel::TimePoint now) const {
+  std::vector<Endpoint*> best;
+  double best_load = 0;
+  bool best_ejected = false;
+  for (auto& [id, endpoint] : service.endpoints) {
+    const bool usable = endpoint.listed && TakesWork(endpoint.instance) &&
+                        avoid.count(id) == 0;
+    const auto load = usable ? this->LoadOf(endpoint, now) : std::nullopt;
+    if (!load) continue;
+    // Ejected endpoints are the last resort: all of them failing at once says
+    // more of the path there than of each.
+    const bool ejected = now < endpoint.ejected_until;
+    const double rounded = std::floor(*load / kLoadStep);
+    const bool better = best.empty() || (best_ejected && !ejected) ||
+                        (best_ejected == ejected && rounded < best_load);
+    const bool equal =
+        !best.empty() && best_ejected == ejected && rounded == best_load;
+    if (!better && !equal) continue;
+    if (better) best.clear();
+    best.push_back(&endpoint);
+    best_load = rounded;
+    best_ejected = ejected;
+  }
+  if (best.empty()) return nullptr;
+  return best[service.random() % best.size()];
+}
+
+std::optional<EndpointChoice> EndpointPool::Choose(
+    const std::string& service, const std::set<std::string>& avoid,
+    kernel::TimePoint now) {
+  const auto found = this->Find(service);
+  if (!found) return std::nullopt;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  Endpoint* best = this->Best(*found, avoid, now);
+  if (best == nullptr) return std::nullopt;
+  ++best->in_flight;
+  return EndpointChoice{best->instance.id, best->instance.address, service};
+}
+
+bool EndpointPool::HasRoom(const std::string& service, kernel::TimePoint now) {
+  const auto found = this->Find(service);
+  if (!found) return false;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  return this->Best(*found, {}, now) != nullptr;
+}
+
+bool EndpointPool::HasEndpoints(const std::string& service) {
+  const auto found = this->Find(service);
+  if (!found) return false;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  return std::any_of(found->endpoints.begin(), found->endpoints.end(),
+                     [](const auto& entry) {
+                       return entry.second.listed &&
+                              TakesWork(entry.second.instance);
+                     });
+}
+
+void EndpointPool::OnFailure(Endpoint& endpoint, kernel::TimePoint now) const {
+  ++endpoint.failures_in_a_row;
+  const int over = endpoint.failures_in_a_row - this->limits.failures_to_eject;
+  if (over < 0) return;
+  endpoint.ejected_until =
+      now + std::min(this->limits.longest_ejection,
+                     this->limits.first_ejection *
+                         (1 << std::min(over, kMostDoublings)));
+}
+
+void EndpointPool::Release(const EndpointChoice& choice, AttemptResult result,
+                           kernel::TimePoint now) {
+  const auto found = this->Find(choice.service);
+  if (!found) return;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  const auto known = found->endpoints.find(choice.id);
+  if (known == found->endpoints.end()) return;
+  Endpoint& endpoint = known->second;
+  --endpoint.in_flight;
+  const bool failed = result == AttemptResult::kUnreachable ||
+                      result == AttemptResult::kBroken ||
+                      result == AttemptResult::kFailed ||
+                      result == AttemptResult::kReplaced;
+  if (failed || result == AttemptResult::kAnswered) {
+    endpoint.failing += kFailureWeight * ((failed ? 1.0 : 0.0) -
+                                          endpoint.failing);
+  }
+  if (failed && result != AttemptResult::kFailed)
+    this->OnFailure(endpoint, now);
+  if (result == AttemptResult::kAnswered) endpoint.failures_in_a_row = 0;
+  if (result == AttemptResult::kFull)
+    endpoint.full_until = now + this->limits.full_pause;
+  if (result == AttemptResult::kReplaced)
+    endpoint.ejected_until = now + this->limits.longest_ejection;
+}
+
+std::vector<std::pair<std::string, std::int64_t>> EndpointPool::InFlight() {
+  std::vector<std::shared_ptr<Service>> all;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (const auto& entry : this->services) all.push_back(entry.second);
+  }
+  std::vector<std::pair<std::string, std::int64_t>> counts;
+  for (const auto& service : all) {
+    const std::lock_guard<std::mutex> lock(service->mutex);
+    for (const auto& [id, endpoint] : service->endpoints) {
+      if (endpoint.in_flight > 0) counts.emplace_back(id, endpoint.in_flight);
+    }
+  }
+  return counts;
+}
+
+std::vector<std::string> EndpointPool::Describe(kernel::TimePoint now) {
+  std::vector<std::string> lines;
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  for (const auto& [name, service] : this->services) {
+    const std::lock_guard<std::mutex> service_lock(service->mutex);
+    for (const auto& [id, endpoint] : service->endpoints) {
+      lines.push_back(
+          id + " service=" + name + " address=" + endpoint.instance.address +
+          " state=" +
+          std::string(
+              membership::InstanceStateName(endpoint.instance.state)) +
+          " listed=" + (endpoint.listed ? "yes" : "no") +
+          " in_flight=" + std::to_string(endpoint.in_flight) +
+          " elsewhere=" + std::to_string(this->elsewhere(id)) +
+          " slots=" + std::to_string(this->SlotsOf(endpoint)) +
+          " ejected=" + (now < endpoint.ejected_until ? "yes" : "no"));
+    }
+  }
+  return lines;
+}
+
+}  // namespace banyanlane::direct
--- /dev/null
+++ b/src/direct/internal/endpoint_pool.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kernel/time.h"
+#include "membership/instances.h"
+
+namespace banyanlane::direct {
+
+/// An endpoint chosen for one sending.
+struct EndpointChoice {
+  std::string id;
+  std::string address;
+  std::string service;
+};
+
+/// What one sending to an endpoint came to.
+enum class AttemptResult {
+  kAnswered,     ///< A whole answer, whatever its status.
+  kCancelled,    ///< Ended from here; says nothing of the endpoint.
+  kFull,         ///< Refused without running.
+  kReplaced,     ///< Another endpoint has the address.
+  kUnreachable,  ///< No connection.
+  kBroken,       ///< Cut, malformed or silent.
+  kFailed,       ///< A whole answer that reports a failure of the endpoint.
+};
+
+/// Returns the stable name of `result`.
+std::string_view AttemptResultName(AttemptResult result);
+
+/// Bounds on how endpoints are used.
+struct PoolLimits {
+  /// Requests that an endpoint may hold beyond its slots, as a part of them:
+  /// a little work must wait there, for the next to begin without a pause.
+  double waiting_part = 0.2;
+  /// Slots taken for granted where the platform lists none.
+  std::int64_t slots_when_unknown = 8;
+  /// Added to the load of endpoints in another failure domain, as a part of
+  /// their slots.
+  double distance_penalty = 0.15;
+  /// Added to the load of an endpoint whose recent answers all failed.
+  double failure_penalty = 1.0;
+  kernel::Millis full_pause{200};       ///< No work after a refusal.
+  kernel::Millis first_ejection{500};   ///< No work after a failure.
+  kernel::Millis longest_ejection{4'000};
+  /// Failures in a row after which an endpoint is left alone for a while.
+  int failures_to_eject = 2;
+};
+
+/// The endpoints of all services, with what this gateway has seen of them.
+/// I/O-free; each service under a lock of its own.
+class EndpointPool {
+ public:
+  /// Returns the requests that other gateways have at an endpoint.
+  using InFlightElsewhere = std::function<std::int64_t(const std::string&)>;
+
+  EndpointPool(std::string failure_domain, const PoolLimits& limits,
+               std::uint64_t seed, InFlightElsewhere elsewhere);
+
+  /// Takes over a new list. Counts of endpoints that stay are kept.
+  void OnInstances(const membership::InstanceList& list);
+
+  /// Returns the endpoint of `service` with the most room, and counts a request
+  /// there. @param avoid ids of endpoints that were tried before.
+  std::optional<EndpointChoice> Choose(const std::string& service,
+                                       const std::set<std::string>& avoid,
+                                       kernel::TimePoint now);
+
+  /// Returns whether Choose would find an endpoint.
+  bool HasRoom(const std::string& service, kernel::TimePoint now);
+
+  /// Returns whether `service` has any endpoint that takes work.
+  bool HasEndpoints(const std::string& service);
+
+  /// Ends a request that Choose counted.
+  void Release(const EndpointChoice& choice, AttemptResult result,
+               kernel::TimePoint now);
+
+  /// Returns the requests of this gateway at each endpoint that has some.
+  std::vector<std::pair<std::string, std::int64_t>> InFlight();
+
+  /// Returns one line for each endpoint.
+  std::vector<std::string> Describe(kernel::TimePoint now);
+
+ private:
+  struct Endpoint {
+    membership::Instance instance;
+    bool listed = false;  ///< In the newest list.
+    std::int64_t in_flight = 0;
+    double failing = 0;  ///< Moving share of failures.
+    int failures_in_a_row = 0;
+    kernel::TimePoint full_until;
+    kernel::TimePoint ejected_until;
+  };
+  struct Service {
+    std::mutex mutex;
+    std::map<std::string, Endpoint> endpoints;  ///< By id.
+    std::minstd_rand random;
+  };
+
+  std::shared_ptr<Service> Find(const std::string& service);
+  std::shared_ptr<Service> FindOrAdd(const std::string& service);
+  std::int64_t SlotsOf(const Endpoint& endpoint) const;
+  /// Returns the load as a part of the slots, or nothing when it has no room.
+  std::optional<double> LoadOf(const Endpoint& endpoint,
+                               kernel::TimePoint now) const;
+  Endpoint* Best(Service& service, const std::set<std::string>& avoid,
+                 kernel::TimePoint now) const;
+  void OnFailure(Endpoint& endpoint, kernel::TimePoint now) const;
+
+  std::string failure_domain;
+  PoolLimits limits;
+  std::uint64_t seed;
+  InFlightElsewhere elsewhere;
+  std::mutex mutex;  ///< Of `services`, not of what they hold.
+  std::map<std::string, std::shared_ptr<Service>> services;
+};
+
+}  // namespace banyanlane::direct
--- /dev/null
+++ b/src/direct/internal/retry_allowance.cc
@@ -0,0 +1,38 @@
+#include "direct/internal/retry_allowance.h"
+
+#include <algorithm>
+
+namespace banyanlane::direct {
+
+void RetryAllowance::Trim(std::deque<kernel::TimePoint>& times,
+                          kernel::TimePoint now) const {
+  while (!times.empty() && now - times.front() > this->limits.window)
+    times.pop_front();
+}
+
+void RetryAllowance::OnRequest(const std::string& service,
+                               kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Window& window = this->services[service];
+  this->Trim(window.requests, now);
+  window.requests.push_back(now);
+}
+
+bool RetryAllowance::Take(const std::string& service, std::size_t gateways,
+                          kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Window& window = this->services[service];
+  this->Trim(window.requests, now);
+  this->Trim(window.retries, now);
+  const double share = static_cast<double>(this->limits.slack) /
+                       static_cast<double>(std::max<std::size_t>(1, gateways));
+  const double bound =
+      this->limits.used_part *
+      (this->limits.ratio * static_cast<double>(window.requests.size()) +
+       share);
+  if (static_cast<double>(window.retries.size() + 1) > bound) return false;
+  window.retries.push_back(now);
+  return true;
+}
+
+}  // namespace banyanlane::direct
--- /dev/null
+++ b/src/direct/internal/retry_allowance.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+#include "kernel/time.h"
+
+namespace banyanlane::direct {
+
+/// Bound on sendings beyond the first, over all gateways together.
+struct RetryLimits {
+  double ratio = 0.2;             ///< Of the requests in the window.
+  kernel::Millis window{10'000};
+  std::int64_t slack = 0;         ///< Allowed besides, over all gateways.
+  /// Part of the bound that is used: the windows of the gateways and of those
+  /// who count differ by their moments.
+  double used_part = 0.75;
+};
+
+/// Allows sendings beyond the first of each request, by service.
+class RetryAllowance {
+ public:
+  explicit RetryAllowance(const RetryLimits& limits) : limits(limits) {}
+
+  /// Counts a request for `service`.
+  void OnRequest(const std::string& service, kernel::TimePoint now);
+
+  /// Takes one further sending. @param gateways that share the slack.
+  /// @return whether there was one.
+  bool Take(const std::string& service, std::size_t gateways,
+            kernel::TimePoint now);
+
+ private:
+  /// What happened within the window, oldest first.
+  struct Window {
+    std::deque<kernel::TimePoint> requests;
+    std::deque<kernel::TimePoint> retries;
+  };
+
+  void Trim(std::deque<kernel::TimePoint>& times, kernel::TimePoint now) const;
+
+  RetryLimits limits;
+  std::mutex mutex;
+  std::unordered_map<std::string, Window> services;
+};
+
+}  // namespace banyanlane::direct
--- /dev/null
+++ b/src/direct/internal/route_table.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "config/profile.h"
+
+namespace banyanlane::direct {
+
+/// Finds the profile that serves a host and path.
+class RouteTable {
+ public:
+  explicit RouteTable(config::ConfigPtr config);
+
+  const config::ConfigPtr& config() const { return this->snapshot; }
+
+  /// Returns the profile of `host` with the longest prefix of `path`, or null.
+  /// @param host as a caller names it, with or without a port.
+  const config::Profile* Find(std::string_view host,
+                              std::string_view path) const;
+
+ private:
+  config::ConfigPtr snapshot;
+  /// By host, then by path prefix.
+  std::unordered_map<
+      std::string, std::unordered_map<std::string, const config::Profile*>>
+      by_host;
+};
+
+}  // namespace banyanlane::direct
--- /dev/null
+++ b/src/direct/internal/waiting_line.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "kernel/time.h"
+
+namespace banyanlane::direct {
+
+/// Requests that wait for room at the endpoints of a service: the most urgent
+/// first, and those alike in the order of their arrival.
+class WaitingLine {
+ public:
+  /// Returns how long a request that joins now would wait, from how fast the
+  /// line has moved of late; nothing when it has not been seen to move.
+  std::optional<kernel::Millis> ExpectedWait(const std::string& service,
+                                             std::int64_t urgency,
+                                             kernel::TimePoint now);
+
+  /// Joins the line. @return the ticket to leave with.
+  std::uint64_t Join(const std::string& service, std::int64_t urgency);
+
+  /// Leaves the line.
+  void Leave(const std::string& service, std::int64_t urgency,
+             std::uint64_t ticket);
+
+  /// Counts a request of `service` that has got room at an endpoint.
+  void OnServed(const std::string& service, kernel::TimePoint now);
+
+  /// Returns the ticket whose turn it is, if any waits.
+  std::optional<std::uint64_t> First(const std::string& service);
+
+  /// Returns the services that requests wait for.
+  std::vector<std::string> Services();
+
+  /// Returns how many wait for `service`.
+  std::size_t Length(const std::string& service);
+
+ private:
+  struct Line {
+    /// By urgency, then ticket.
+    std::map<std::pair<std::int64_t, std::uint64_t>, bool> waiting;
+    double served_per_second = 0;
+    kernel::TimePoint counted_at;
+    std::int64_t served = 0;  ///< Since counted_at.
+  };
+
+  std::mutex mutex;
+  std::unordered_map<std::string, Line> lines;
+  std::uint64_t last_ticket = 0;
+};
+
+}  // namespace banyanlane::direct
--- a/src/http/http_types.cc
+++ b/src/http/http_types.cc
@@ -1,13 +1,21 @@
 #include "http/http_types.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
+#include <set>
 
 #include "kernel/text.h"
 
 namespace banyanlane::http {
 namespace {
 
+constexpr std::array<std::string_view, 11> kHopFields = {
+    "connection",          "keep-alive",       "transfer-encoding",
+    "content-length",      "upgrade",          "proxy-connection",
+    "te",                  "trailer",          "proxy-authenticate",
+    "proxy-authorization", "expect"};
+
 int HexDigit(char digit) {
   if (digit >= '0' && digit <= '9') return digit - '0';
   const int lower = std::tolower(static_cast<unsigned char>(digit));
@@ -39,6 +47,26 @@
   return "";
 }
 
+bool IsHopField(std::string_view lower_name) {
+  return std::find(kHopFields.begin(), kHopFields.end(), lower_name) !=
+         kHopFields.end();
+}
+
+Headers EndToEndHeaders(const Headers& headers) {
+  std::set<std::string> named;
+  for (const auto& [name, value] : headers) {
+    if (name != "connection") continue;
+    for (const std::string_view part : kernel::Split(value, ','))
+      named.insert(kernel::ToLower(kernel::Trim(part)));
+  }
+  Headers kept;
+  for (const auto& field : headers) {
+    if (!IsHopField(field.first) && named.count(field.first) == 0)
+      kept.push_back(field);
+  }
+  return kept;
+}
+
 std::string HttpRequest::Path() const {
   return this->target.substr(0, this->target.find('?'));
 }
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -17,6 +17,13 @@
 /// Returns the first value of `name` (lower case), or "" when absent.
 std::string HeaderOf(const Headers& headers, std::string_view name);
 
+/// Returns whether the field belongs to one connection and is not passed on.
+bool IsHopField(std::string_view lower_name);
+
+/// Returns `headers` without those that concern one connection only: the
+/// fields that RFC 9110 names and those listed in Connection.
+Headers EndToEndHeaders(const Headers& headers);
+
 /// A whole request as received or to be sent.
 struct HttpRequest {
   std::string method = "GET";
@@ -24,6 +31,8 @@
   Headers headers;
   std::string body;
   std::string peer;  ///< Address of the sender, for received requests.
+  /// Host that a sent request names; the called address when empty.
+  std::string authority;
 
   /// Returns the target without its query.
   std::string Path() const;
--- a/src/http/i_http_handler.h
+++ b/src/http/i_http_handler.h
@@ -33,6 +33,10 @@
   /// Suspends until notified, until `until`, or until the caller has gone.
   virtual WakeReason Wait(kernel::TimePoint until) = 0;
 
+  /// Makes the answer the last one of its connection. Call before the answer
+  /// begins.
+  virtual void CloseAfterAnswer() = 0;
+
   /// Sends a whole response.
   virtual void Reply(const HttpResponse& response) = 0;
 
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -20,6 +20,8 @@
   virtual std::uint16_t port() const = 0;
   /// Accepts no more connections; those open go on.
   virtual void StopAccepting() = 0;
+  /// Sets the bounds for requests that begin from now on.
+  virtual void SetLimits(const ServerLimits& limits) = 0;
   /// Returns the number of exchanges that are not answered yet.
   virtual std::size_t ActiveExchanges() const = 0;
 };
@@ -57,6 +59,9 @@
   kernel::Millis head_timeout{
       60'000};  ///< From the request sent to the answer's head.
   kernel::Millis silence_timeout{10'000};  ///< Between two parts of the answer.
+  /// Whether an orderly close ends an answer that has no length. A reset never
+  /// does.
+  bool end_by_close = false;
 };
 
 /// Runs servers and calls on a pool of threads.
--- a/src/http/internal/asio_http.cc
+++ b/src/http/internal/asio_http.cc
@@ -4,8 +4,6 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <array>
-
 #include "kernel/text.h"
 
 namespace banyanlane::http {
@@ -41,21 +39,6 @@
   return headers;
 }
 
-bool IsHopField(std::string_view lower_name) {
-  constexpr std::array<std::string_view, 8> kHopFields = {"connection",
-                                                          "keep-alive",
-                                                          "transfer-encoding",
-                                                          "content-length",
-                                                          "upgrade",
-                                                          "proxy-connection",
-                                                          "te",
-                                                          "trailer"};
-  for (const std::string_view field : kHopFields) {
-    if (field == lower_name) return true;
-  }
-  return false;
-}
-
 kernel::Result<tcp::endpoint> ResolveAddress(const std::string& address) {
   const auto parsed = ParseHostPort(address);
   if (const kernel::Error* error = kernel::ErrorOf(parsed)) return *error;
--- a/src/http/internal/asio_http.h
+++ b/src/http/internal/asio_http.h
@@ -31,9 +31,6 @@
 /// Copies Beast's fields with names in lower case.
 Headers CopyFields(const beast::http::fields& fields);
 
-/// Returns whether the field belongs to one connection and is not passed on.
-bool IsHopField(std::string_view lower_name);
-
 /// Returns the endpoint that `address` names.
 kernel::Result<tcp::endpoint> ResolveAddress(const std::string& address);
 
--- a/src/http/internal/http_call.cc
+++ b/src/http/internal/http_call.cc
@@ -96,7 +96,9 @@
   message.version(kHttpVersion);
   message.method_string(this->request.method);
   message.target(this->request.target);
-  message.set(beast::http::field::host, this->address);
+  message.set(beast::http::field::host, this->request.authority.empty()
+                                            ? this->address
+                                            : this->request.authority);
   for (const auto& [name, value] : this->request.headers) {
     if (!IsHopField(name) && name != "host") message.insert(name, value);
   }
@@ -145,7 +147,7 @@
   }
   const bool length_known =
       parser.chunked() || parser.content_length().has_value();
-  if (!length_known) {
+  if (!length_known && !this->limits.end_by_close) {
     // An answer that ends with its connection can't be told from a cut one.
     this->Fail("read_body", beast::http::error::partial_message,
                SendState::kMaybeSent);
--- a/src/http/internal/http_exchange.h
+++ b/src/http/internal/http_exchange.h
@@ -51,6 +51,7 @@
   const HttpRequest& request() const override { return this->received; }
   std::shared_ptr<INotifier> notifier() override { return this->signal; }
   WakeReason Wait(kernel::TimePoint until) override;
+  void CloseAfterAnswer() override { this->keep_alive = false; }
   void Reply(const HttpResponse& response) override;
   bool BeginStream(int status, const Headers& headers) override;
   bool WriteChunk(std::string_view data) override;
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -88,6 +88,16 @@
   });
 }
 
+void HttpServer::SetLimits(const ServerLimits& limits) {
+  const std::lock_guard<std::mutex> lock(this->limits_mutex);
+  this->limits = limits;
+}
+
+ServerLimits HttpServer::CurrentLimits() const {
+  const std::lock_guard<std::mutex> lock(this->limits_mutex);
+  return this->limits;
+}
+
 void HttpServer::Accept() {
   auto strand = asio::make_strand(this->io.get_executor());
   auto stream = std::make_shared<StrandStream>(strand);
@@ -126,8 +136,9 @@
 
 bool HttpServer::ReadRequest(StrandStream& stream, const Strand& strand,
                              beast::flat_buffer& buffer, RequestParser& parser,
+                             const ServerLimits& limits,
                              asio::yield_context yield,
-                             beast::error_code& failure) const {
+                             beast::error_code& failure) {
   // The stream's own timeout would close the socket, and the caller never learn
   // why.
   struct Watch {
@@ -136,7 +147,7 @@
   };
   const auto watch = std::make_shared<Watch>();
   asio::steady_timer timer(strand,
-                           kernel::Millis(this->limits.read_timeout_ms));
+                           kernel::Millis(limits.read_timeout_ms));
   timer.async_wait([watch, &stream](const beast::error_code& cancelled) {
     if (cancelled || !watch->reading) return;
     watch->late = true;
@@ -162,25 +173,26 @@
 bool HttpServer::ServeOne(StrandStream& stream, const Strand& strand,
                           beast::flat_buffer& buffer,
                           asio::yield_context yield) {
+  const ServerLimits limits = this->CurrentLimits();
   RequestParser parser;
-  parser.header_limit(this->limits.header_bytes);
-  parser.body_limit(this->limits.body_bytes);
+  parser.header_limit(limits.header_bytes);
+  parser.body_limit(limits.body_bytes);
   beast::error_code failure;
   if (buffer.size() == 0) {
-    stream.expires_after(kernel::Millis(this->limits.idle_timeout_ms));
+    stream.expires_after(kernel::Millis(limits.idle_timeout_ms));
     const std::size_t count = stream.async_read_some(
-        buffer.prepare(this->limits.header_bytes), yield[failure]);
+        buffer.prepare(limits.header_bytes), yield[failure]);
     if (failure) return false;
     buffer.commit(count);
   }
   stream.expires_never();
-  if (this->ReadRequest(stream, strand, buffer, parser, yield, failure)) {
+  if (this->ReadRequest(stream, strand, buffer, parser, limits, yield, failure)) {
     failure = beast::error::timeout;
   }
   if (failure) {
     const auto answer = AnswerToUnreadable(failure);
     if (!answer) return false;
-    HttpExchange exchange(stream, strand, yield, HttpRequest{}, this->limits,
+    HttpExchange exchange(stream, strand, yield, HttpRequest{}, limits,
                           false);
     exchange.Reply(*answer);
     this->Discard(stream, yield);
@@ -188,7 +200,7 @@
   }
   ++this->active;
   HttpExchange exchange(stream, strand, yield,
-                        CopyRequest(parser.get(), PeerOf(stream)), this->limits,
+                        CopyRequest(parser.get(), PeerOf(stream)), limits,
                         parser.get().keep_alive());
   this->HandleGuarded(exchange);
   --this->active;
--- a/src/http/internal/http_server.h
+++ b/src/http/internal/http_server.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 
 #include "http/i_http_runtime.h"
 #include "http/internal/asio_http.h"
@@ -22,6 +23,7 @@
 
   std::uint16_t port() const override { return this->bound_port; }
   void StopAccepting() override;
+  void SetLimits(const ServerLimits& limits) override;
   std::size_t ActiveExchanges() const override { return this->active; }
 
  private:
@@ -31,14 +33,17 @@
   using RequestParser = beast::http::request_parser<beast::http::string_body>;
 
   /// Reads one request. @return whether its time was up before it was whole.
-  bool ReadRequest(StrandStream& stream, const Strand& strand,
-                   beast::flat_buffer& buffer, RequestParser& parser,
-                   asio::yield_context yield, beast::error_code& failure) const;
+  static bool ReadRequest(StrandStream& stream, const Strand& strand,
+                          beast::flat_buffer& buffer, RequestParser& parser,
+                          const ServerLimits& limits, asio::yield_context yield,
+                          beast::error_code& failure);
   void HandleGuarded(HttpExchange& exchange);
   /// Answers one request. @return whether the connection goes on.
   bool ServeOne(StrandStream& stream, const Strand& strand,
                 beast::flat_buffer& buffer, asio::yield_context yield);
 
+  ServerLimits CurrentLimits() const;
+
   /// Reads on for a while, so that a refusal is not lost under a body that
   /// still comes in.
   void Discard(StrandStream& stream, asio::yield_context yield);
@@ -46,6 +51,7 @@
   asio::io_context& io;
   tcp::acceptor acceptor;
   std::shared_ptr<IHttpHandler> handler;
+  mutable std::mutex limits_mutex;
   ServerLimits limits;
   std::uint16_t bound_port = 0;
   std::atomic<std::size_t> active{0};
--- a/src/kernel/i_module.h
+++ b/src/kernel/i_module.h
@@ -26,6 +26,14 @@
         std::move(implementation);
   }
 
+  /// Returns the implementation exported for the interface type, or null.
+  template <typename Interface>
+  std::shared_ptr<Interface> Find() const {
+    const auto found = this->exports.find(std::type_index(typeid(Interface)));
+    if (found == this->exports.end()) return nullptr;
+    return std::any_cast<std::shared_ptr<Interface>>(found->second);
+  }
+
   /// Returns the implementation exported for the interface type.
   /// @throws std::logic_error when no module exported it: an error in the
   /// assembly.
--- a/src/kernel/module_registry.cc
+++ b/src/kernel/module_registry.cc
@@ -1,8 +1,23 @@
 #include "kernel/module_registry.h"
 
+#include "kernel/enum_names.h"
+
 #include <algorithm>
 
 namespace banyanlane::kernel {
+namespace {
+
+constexpr EnumNames<Role, 3> kRoleNames = {{
+    {Role::kEntry, "entry"},
+    {Role::kAgent, "agent"},
+    {Role::kGateway, "gateway"},
+}};
+
+}  // namespace
+
+std::optional<Role> ParseRole(std::string_view name) {
+  return ParseEnum(kRoleNames, name);
+}
 
 ModuleRegistry& ModuleRegistry::Instance() {
   static ModuleRegistry registry;
--- a/src/kernel/module_registry.h
+++ b/src/kernel/module_registry.h
@@ -2,7 +2,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "kernel/i_module.h"
@@ -10,7 +12,10 @@
 namespace banyanlane::kernel {
 
 /// Roles a process can have; a module says which ones it is part of.
-enum class Role { kEntry, kAgent };
+enum class Role { kEntry, kAgent, kGateway };
+
+/// Returns the role called `name` on the command line, if there is one.
+std::optional<Role> ParseRole(std::string_view name);
 
 /// Order in which modules start; they stop in reverse.
 enum class StartOrder {
--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -1,8 +1,10 @@
 #include "kernel/settings.h"
 
+#include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include "kernel/ini.h"
@@ -14,10 +16,25 @@
   return fmt::format("{}.{}", section, key);
 }
 
+std::optional<double> ParseDecimal(const std::string& text) {
+  double value = 0;
+  return absl::SimpleAtod(text, &value) ? std::optional<double>(value)
+                                        : std::nullopt;
+}
+
 /// Returns why `text` is not allowed for `field`, or "" when it is.
 std::string Objection(const SettingField& field, const std::string& text) {
   if (field.kind == SettingKind::kBoolean && !ParseBoolean(text))
     return "not a boolean";
+  if (field.kind == SettingKind::kNumber) {
+    const auto number = ParseDecimal(text);
+    if (!number) return fmt::format("'{}' is not a number", text);
+    const bool inside = *number >= static_cast<double>(field.lowest) &&
+                        *number <= static_cast<double>(field.highest);
+    return inside ? ""
+                  : fmt::format("{} is outside {}..{}", *number, field.lowest,
+                                field.highest);
+  }
   if (field.kind != SettingKind::kInteger) return "";
   const auto number = ParseInteger(text);
   if (!number) return fmt::format("'{}' is not an integer", text);
@@ -93,6 +110,10 @@
   return ParseInteger(this->Text(section, key)).value_or(0);
 }
 
+double Settings::Number(std::string_view section, std::string_view key) const {
+  return ParseDecimal(this->Text(section, key)).value_or(0);
+}
+
 bool Settings::Boolean(std::string_view section, std::string_view key) const {
   return ParseBoolean(this->Text(section, key)).value_or(false);
 }
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -11,7 +11,7 @@
 namespace banyanlane::kernel {
 
 /// Kind of value a setting holds.
-enum class SettingKind { kText, kInteger, kBoolean, kList };
+enum class SettingKind { kText, kInteger, kNumber, kBoolean, kList };
 
 /// One allowed setting: its place, kind, bounds and default.
 struct SettingField {
@@ -40,6 +40,8 @@
 
   std::string Text(std::string_view section, std::string_view key) const;
   std::int64_t Integer(std::string_view section, std::string_view key) const;
+  /// Returns a setting that may have a fraction.
+  double Number(std::string_view section, std::string_view key) const;
   bool Boolean(std::string_view section, std::string_view key) const;
   /// Returns the comma-separated parts of a list setting, without blanks.
   std::vector<std::string> List(std::string_view section,
--- a/src/link/internal/codec.cc
+++ b/src/link/internal/codec.cc
@@ -84,6 +84,18 @@
     this->array.push_back(std::move(pairs));
   }
 
+  void Add(const std::vector<PeerState>& states) {
+    json list = json::array();
+    for (const PeerState& state : states) {
+      json fields = json::array({std::uint64_t{0}});
+      FieldWriter writer(fields);
+      // Visit is shared with decoding and so not const; the writer only reads.
+      const_cast<PeerState&>(state).Visit(writer);
+      list.push_back(std::move(fields));
+    }
+    this->array.push_back(std::move(list));
+  }
+
   json& array;
 };
 
@@ -150,6 +162,18 @@
     }
   }
 
+  void Take(std::vector<PeerState>& states) {
+    json& value = this->Next();
+    if (!value.is_array()) throw MalformedFrame{"states are not a list"};
+    for (json& fields : value) {
+      if (!fields.is_array()) throw MalformedFrame{"a state is not a list"};
+      FieldReader reader(fields);
+      PeerState state;
+      state.Visit(reader);
+      states.push_back(std::move(state));
+    }
+  }
+
   template <typename Enum, std::size_t kCount>
   void TakeEnum(Enum& field, const kernel::EnumNames<Enum, kCount>& /*table*/) {
     std::uint64_t number = 0;
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -295,6 +295,37 @@
   }
 };
 
+/// What a gateway tells of itself; passed on by others as it is.
+struct PeerState {
+  std::string node;
+  std::uint64_t incarnation = 0;  ///< Later lives have higher numbers.
+  std::uint64_t sequence = 0;     ///< Grows with each statement of one life.
+  std::string link_address;
+  std::string caller_address;
+  std::string failure_domain;
+  bool ready = false;
+  bool leaving = false;
+  /// Requests it has at endpoints, as ID=COUNT.
+  std::vector<std::string> in_flight;
+
+  template <typename Visitor>
+  void Visit(Visitor& visit) {
+    visit(this->node, this->incarnation, this->sequence, this->link_address,
+          this->caller_address, this->failure_domain, this->ready,
+          this->leaving, this->in_flight);
+  }
+};
+
+/// Gateway to gateway: what the sender knows that the receiver may not.
+struct PeerStates {
+  std::vector<PeerState> states;
+
+  template <typename Visitor>
+  void Visit(Visitor& visit) {
+    visit(this->states);
+  }
+};
+
 /// What is known of work that was running when endpoints were lost.
 enum class Suspicion : std::uint64_t {
   kSuspect = 0,
@@ -320,7 +351,8 @@
 using Message =
     std::variant<Hello, Heartbeat, Submit, Started, Head, Chunk, Ended, Revoke,
                  Cancel, Resume, Consumed, ConfigAnnounce, ConfigPull,
-                 ConfigValue, ListAnnounce, ListPull, ListValue, Evidence>;
+                 ConfigValue, ListAnnounce, ListPull, ListValue, Evidence,
+                 PeerStates>;
 
 /// Returns the stable name of `outcome`.
 std::string_view OutcomeName(Outcome outcome);
--- a/src/membership/instances.h
+++ b/src/membership/instances.h
@@ -30,6 +30,7 @@
                         ///< the agent listens.
   std::string failure_domain;
   std::string service;  ///< Endpoints: the model or plain service they serve.
+  std::int64_t slots = 0;  ///< Endpoints: requests run at a time; 0: unknown.
 };
 
 /// One version of the platform's list.
@@ -44,6 +45,10 @@
 
 using InstanceListPtr = std::shared_ptr<const InstanceList>;
 
+/// Writes the text that ParseInstanceList reads.
+std::string FormatInstanceList(std::uint64_t version,
+                               const std::vector<Instance>& instances);
+
 /// Parses the JSON text that the platform publishes.
 kernel::Result<InstanceList> ParseInstanceList(std::string_view text);
 
--- a/src/membership/internal/instance_list.cc
+++ b/src/membership/internal/instance_list.cc
@@ -37,6 +37,9 @@
   instance.address = TextField(object, "address");
   instance.failure_domain = TextField(object, "failure_domain");
   instance.service = TextField(object, "service");
+  instance.slots = object.value("slots", json(0)).is_number_integer()
+                       ? object.value("slots", std::int64_t{0})
+                       : 0;
   const auto role = kernel::ParseEnum(kRoleNames, TextField(object, "role"));
   const auto state = kernel::ParseEnum(kStateNames, TextField(object, "state"));
   if (instance.id.empty() || instance.address.empty())
@@ -66,6 +69,22 @@
   return matching;
 }
 
+std::string FormatInstanceList(std::uint64_t version,
+                               const std::vector<Instance>& instances) {
+  json listed = json::array();
+  for (const Instance& instance : instances) {
+    listed.push_back({{"id", instance.id},
+                      {"role", InstanceRoleName(instance.role)},
+                      {"state", InstanceStateName(instance.state)},
+                      {"address", instance.address},
+                      {"failure_domain", instance.failure_domain},
+                      {"service", instance.service},
+                      {"slots", instance.slots}});
+  }
+  return json{{"version", version}, {"instances", std::move(listed)}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
+}
+
 kernel::Result<InstanceList> ParseInstanceList(std::string_view text) {
   const json parsed = json::parse(text, nullptr, false);
   if (!parsed.is_object() || !parsed.contains("version") ||
--- /dev/null
+++ b/src/peers/i_peers.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "kernel/time.h"
+
+namespace banyanlane::peers {
+
+/// Another gateway, as last heard of.
+struct Peer {
+  std::string node;
+  std::string caller_address;
+  std::string failure_domain;
+  bool ready = false;
+  bool leaving = false;
+};
+
+/// What this gateway tells its peers.
+struct LocalState {
+  bool ready = false;
+  bool leaving = false;
+  /// Requests it has at each endpoint, by the endpoint's id.
+  std::vector<std::pair<std::string, std::int64_t>> in_flight;
+};
+
+/// Knows the other gateways.
+class IPeers {
+ public:
+  virtual ~IPeers() = default;
+
+  /// Returns the gateways heard of lately, without this one.
+  virtual std::vector<Peer> Live(kernel::TimePoint now) = 0;
+
+  /// Returns how many requests the live peers together have at `endpoint`.
+  virtual std::int64_t InFlightElsewhere(const std::string& endpoint) = 0;
+
+  /// Tells the peers at once.
+  virtual void Publish(LocalState state, kernel::TimePoint now) = 0;
+};
+
+}  // namespace banyanlane::peers
--- /dev/null
+++ b/src/peers/internal/peer_gossip.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "link/i_link.h"
+#include "peers/internal/peer_table.h"
+
+namespace banyanlane::peers {
+
+/// Exchanges statements with other gateways over links.
+class PeerGossip : public IPeers, public link::ILinkObserver {
+ public:
+  PeerGossip(PeerTable table, std::vector<std::string> seeds,
+             std::shared_ptr<link::ILinkHub> hub);
+
+  std::vector<Peer> Live(kernel::TimePoint now) override;
+  std::int64_t InFlightElsewhere(const std::string& endpoint) override;
+  void Publish(LocalState state, kernel::TimePoint now) override;
+
+  void OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) override;
+  void OnMessage(const link::LinkPtr& link, link::Message message,
+                 kernel::TimePoint now) override;
+  void OnLinkDown(const link::LinkPtr& link, kernel::TimePoint now) override;
+
+  /// Dials the gateways that should be linked to.
+  void UpdateTargets();
+
+ private:
+  std::vector<link::LinkPtr> Links();
+  void SendToAll(const link::PeerStates& states, const link::LinkPtr& except);
+
+  std::mutex mutex;
+  PeerTable table;
+  std::vector<std::string> seeds;
+  std::vector<std::string> targets;
+  std::shared_ptr<link::ILinkHub> hub;
+  std::map<std::uint64_t, link::LinkPtr> links;
+};
+
+}  // namespace banyanlane::peers
--- /dev/null
+++ b/src/peers/peers_module.cc
@@ -0,0 +1,100 @@
+#include <memory>
+#include <stdexcept>
+
+#include "config/i_config.h"
+#include "kernel/hash.h"
+#include "kernel/module_registry.h"
+#include "membership/instances.h"
+#include "peers/internal/peer_gossip.h"
+
+namespace banyanlane::peers {
+namespace {
+
+using kernel::Role;
+using kernel::SettingKind;
+
+/// Exports IPeers, and opens the port for links.
+class PeersModule : public kernel::IModule {
+ public:
+  void Export(kernel::ModuleContext& context) override {
+    const kernel::Settings& settings = context.settings();
+    link::PeerState self;
+    self.node = settings.Text("node", "id");
+    self.incarnation = kernel::Hash64(kernel::RandomId());
+    self.failure_domain = settings.Text("node", "failure_domain");
+    self.link_address = settings.Text("link", "listen");
+    self.caller_address = settings.Text("gateway", "address");
+    this->hello.role = "gateway";
+    this->hello.node = self.node;
+    this->hello.incarnation = self.incarnation;
+    this->hello.failure_domain = self.failure_domain;
+    this->address = self.link_address;
+    this->hub = context.Resolve<link::ILinkHub>();
+    this->gossip = std::make_shared<PeerGossip>(
+        PeerTable(std::move(self), PeerLimits{}),
+        settings.List("link", "seeds"), this->hub);
+    context.Export<IPeers>(this->gossip);
+  }
+
+  void Resolve(kernel::ModuleContext& context) override {
+    this->store = context.Resolve<config::IConfigStore>();
+    this->membership = context.Resolve<membership::IMembership>();
+    this->hub->SetLocal([this] { return this->LocalHello(); },
+                        [this] { return this->LocalHeartbeat(); });
+    this->hub->Subscribe(this->gossip);
+  }
+
+  void Start() override {
+    const auto opened = this->hub->Listen(this->address);
+    if (const kernel::Error* error = kernel::ErrorOf(opened))
+      throw std::runtime_error(kernel::Describe(*error));
+    this->gossip->UpdateTargets();
+  }
+
+  void Stop() override {}
+
+ private:
+  std::uint64_t Revision() const {
+    const config::ConfigPtr config = this->store->Current();
+    return config ? config->revision : 0;
+  }
+
+  std::uint64_t ListVersion() const {
+    const auto list = this->membership->Current();
+    return list ? list->version : 0;
+  }
+
+  link::Hello LocalHello() const {
+    link::Hello said = this->hello;
+    said.revision = this->Revision();
+    said.list_version = this->ListVersion();
+    return said;
+  }
+
+  link::Heartbeat LocalHeartbeat() const {
+    link::Heartbeat heartbeat;
+    heartbeat.revision = this->Revision();
+    heartbeat.list_version = this->ListVersion();
+    return heartbeat;
+  }
+
+  link::Hello hello;
+  std::string address;
+  std::shared_ptr<link::ILinkHub> hub;
+  std::shared_ptr<PeerGossip> gossip;
+  std::shared_ptr<config::IConfigStore> store;
+  std::shared_ptr<membership::IMembership> membership;
+};
+
+const kernel::ModuleRegistration kRegistration(
+    {"peers",
+     {Role::kGateway},
+     kernel::StartOrder::kService,
+     {{"link", "listen", SettingKind::kText, "", true, 0, 0,
+       "Where other gateways link to."},
+      {"link", "seeds", SettingKind::kList, "", false, 0, 0,
+       "Gateways to link to at first; some may be down."}},
+     [] { return std::make_unique<PeersModule>(); }});
+
+}  // namespace
+}  // namespace banyanlane::peers
