Reload settings on SIGHUP and when their file changes

Excluded: ignoring the signal, since the file may hold new seeds. Change: SIGHUP, or a changed file, is read and checked again; log level and seeds are taken over, a bad file is refused and logged.

--- a/src/app/role_process.cc
+++ b/src/app/role_process.cc
@@ -11,13 +11,16 @@
 using kernel::EventId;
 
 constexpr std::int64_t kDrainCheckNanos = 50'000'000;
+/// How often the settings file is looked at, as it may change without a signal.
+constexpr time_t kSettingsCheckSeconds = 2;
 constexpr int kReportEvery = 40;
 
-sigset_t StopSignals() {
+sigset_t HandledSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
@@ -30,7 +33,8 @@
       kernel::Settings::Load(settings_path, registry.SchemaOf(role));
   if (const kernel::Error* error = kernel::ErrorOf(settings)) return *error;
   std::unique_ptr<RoleProcess> process(
-      new RoleProcess(std::get<kernel::Settings>(std::move(settings))));
+      new RoleProcess(role, settings_path,
+                      std::get<kernel::Settings>(std::move(settings))));
   for (const auto& entry : registry.ModulesOf(role))
     process->modules.push_back(entry.factory());
   for (const auto& module : process->modules) module->Export(process->context);
@@ -39,15 +43,14 @@
 }
 
 int RoleProcess::Run() {
-  const sigset_t signals = StopSignals();
+  const sigset_t signals = HandledSignals();
   // Blocked before any thread starts, so that only the wait below receives
   // them.
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   kernel::LogEvent(EventId::kProcessStarted,
                    {{"node", this->context.settings().Text("node", "id")}});
   for (const auto& module : this->modules) module->Start();
-  int received = 0;
-  sigwait(&signals, &received);
+  const int received = this->WaitForStop(signals);
   kernel::LogEvent(EventId::kStopRequested,
                    {{"signal", std::to_string(received)}});
   for (const auto& module : this->modules) module->Drain();
@@ -58,6 +61,32 @@
   return 0;
 }
 
+int RoleProcess::WaitForStop(const sigset_t& signals) {
+  while (true) {
+    const timespec patience{kSettingsCheckSeconds, 0};
+    const int received = sigtimedwait(&signals, nullptr, &patience);
+    const bool must_stop = received == SIGTERM || received == SIGINT;
+    if (must_stop) return received;
+    const bool changed = this->settings_file.HasChanged();
+    if (received == SIGHUP || changed) this->Reload();
+  }
+}
+
+void RoleProcess::Reload() {
+  const auto settings = kernel::Settings::Load(
+      this->settings_file.path(),
+      kernel::ModuleRegistry::Instance().SchemaOf(this->role));
+  if (const kernel::Error* error = kernel::ErrorOf(settings)) {
+    kernel::LogEvent(EventId::kSettingsRefused,
+                     {{"reason", kernel::Describe(*error)}});
+    return;
+  }
+  for (const auto& module : this->modules)
+    module->Reload(std::get<kernel::Settings>(settings));
+  kernel::LogEvent(EventId::kSettingsReloaded,
+                   {{"file", this->settings_file.path()}});
+}
+
 void RoleProcess::WaitForDrain() {
   for (int round = 0;; ++round) {
     std::string pending;
--- /dev/null
+++ b/src/app/settings_file.cc
@@ -0,0 +1,25 @@
+#include "app/settings_file.h"
+
+#include <sys/stat.h>
+
+namespace banyanlane::app {
+
+SettingsFile::SettingsFile(std::string path) : file_path(std::move(path)) {
+  this->last = this->Look();
+}
+
+SettingsFile::Stamp SettingsFile::Look() const {
+  struct stat found {};
+  // A file that is missing for a moment, while it is replaced, has not changed.
+  if (stat(this->file_path.c_str(), &found) != 0) return this->last;
+  return {found.st_mtim.tv_sec, found.st_mtim.tv_nsec, found.st_size};
+}
+
+bool SettingsFile::HasChanged() {
+  const Stamp now = this->Look();
+  if (now == this->last) return false;
+  this->last = now;
+  return true;
+}
+
+}  // namespace banyanlane::app
--- a/src/kernel/base_module.cc
+++ b/src/kernel/base_module.cc
@@ -18,6 +18,9 @@
   }
   void Resolve(ModuleContext& /*context*/) override {}
   void Start() override {}
+  void Reload(const Settings& settings) override {
+    SetLogLevel(settings.Text("node", "log_level"));
+  }
   void Stop() override {}
 };
 
--- a/src/kernel/i_module.h
+++ b/src/kernel/i_module.h
@@ -62,6 +62,10 @@
   virtual void Resolve(ModuleContext& context) = 0;
   virtual void Start() = 0;
 
+  /// Takes over what may change while the process runs. Other settings keep
+  /// their values until the next start.
+  virtual void Reload(const Settings& /*settings*/) {}
+
   /// Begins a graceful shutdown: no new work, requests in flight go on.
   virtual void Drain() {}
 
--- a/src/peers/internal/peer_gossip.cc
+++ b/src/peers/internal/peer_gossip.cc
@@ -61,6 +61,14 @@
   this->links.erase(link->id());
 }
 
+void PeerGossip::SetSeeds(std::vector<std::string> seeds) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->seeds = std::move(seeds);
+  }
+  this->UpdateTargets();
+}
+
 void PeerGossip::UpdateTargets() {
   std::vector<std::string> wanted;
   {
--- a/src/peers/internal/peer_gossip.h
+++ b/src/peers/internal/peer_gossip.h
@@ -26,6 +26,9 @@
                  kernel::TimePoint now) override;
   void OnLinkDown(const link::LinkPtr& link, kernel::TimePoint now) override;
 
+  /// Replaces the gateways that are linked to whatever is known of them.
+  void SetSeeds(std::vector<std::string> seeds);
+
   /// Dials the gateways that should be linked to.
   void UpdateTargets();
 
--- a/src/peers/peers_module.cc
+++ b/src/peers/peers_module.cc
@@ -51,6 +51,10 @@
     this->gossip->UpdateTargets();
   }
 
+  void Reload(const kernel::Settings& settings) override {
+    this->gossip->SetSeeds(settings.List("link", "seeds"));
+  }
+
   void Stop() override {}
 
  private:
