Change expert maps of lock-stepped groups through rank agents

Excluded: arming without a hold (a late arm order could come after the others were released); leads that commit another lead's change (its undoing may still be under way).

--- a/src/admin/admin_module.cc
+++ b/src/admin/admin_module.cc
@@ -43,7 +43,7 @@
 
 const kernel::ModuleRegistration kRegistration(
     {"admin",
-     {Role::kEntry, Role::kAgent, Role::kGateway},
+     {Role::kEntry, Role::kAgent, Role::kGateway, Role::kRank},
      kernel::StartOrder::kConfig,
      {{"admin", "address", SettingKind::kText, "127.0.0.1:0", false, 0, 0,
        "Where operators read status, metrics and the audit trail."}},
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -35,7 +35,8 @@
   banyanlane agent --settings=FILE     run an agent: the only path to one endpoint
   banyanlane gateway --settings=FILE   run a gateway: an entry that calls endpoints itself
   banyanlane check FILE                check a configuration before it is published
-  banyanlane settings ROLE             list the settings of entry, agent or gateway
+  banyanlane rank --settings=FILE      run a rank agent: balances experts over a group's ranks
+  banyanlane settings ROLE             list the settings of entry, agent, gateway or rank
   banyanlane events                    list the log events
   banyanlane status ADDRESS            show a live process, by its admin address
   banyanlane audit ADDRESS             show its latest changes
--- a/src/catalog/catalog_module.cc
+++ b/src/catalog/catalog_module.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <vector>
@@ -17,6 +18,11 @@
 
 /// How often pauses are checked for their end.
 constexpr kernel::Millis kTickPeriod{50};
+/// Between two samples of the configuration, and after the first that found
+/// nothing; the latter doubles.
+constexpr kernel::Millis kSamplePeriod{60'000};
+constexpr kernel::Millis kFirstSampleRetry{1'000};
+constexpr kernel::Millis kSampleCheckPeriod{500};
 
 /// Begins watches anew when a link is lost: what silenced the link may have
 /// silenced them as well.
@@ -137,6 +143,64 @@
   std::atomic<std::uint64_t> list_offered{0};
 };
 
+/// Reads the configuration now and then, for roles that need little of it and
+/// not at once.
+class SampleModule : public kernel::IModule {
+ public:
+  void Export(kernel::ModuleContext& /*context*/) override {}
+
+  void Resolve(kernel::ModuleContext& context) override {
+    this->catalog = context.Resolve<ICatalog>();
+    this->reader = context.Resolve<ICatalogReader>();
+    this->config = context.Resolve<config::IConfigStore>();
+    this->runtime = context.Resolve<http::IHttpRuntime>();
+  }
+
+  void Start() override {
+    this->Read(kernel::Clock::now());
+    this->runtime->Every(kSampleCheckPeriod, [this](kernel::TimePoint now) {
+      if (now >= this->next) this->Read(now);
+    });
+  }
+
+  void Stop() override {}
+
+ private:
+  void Read(kernel::TimePoint now) {
+    const bool known = this->config->Current() != nullptr;
+    this->next = now + (known ? kSamplePeriod : this->retry);
+    this->retry = std::min(this->retry * 2, kSamplePeriod);
+    this->catalog->ReadPage(
+        this->reader->ConfigPrefix(), "", CatalogLimits{}.answer,
+        [this](const CatalogAnswer& answer) { this->Offer(answer); });
+  }
+
+  void Offer(const CatalogAnswer& answer) {
+    const auto* page = std::get_if<CatalogPage>(&answer);
+    if (page == nullptr) return;
+    for (const CatalogItem& item : page->items) {
+      const auto offer = this->reader->ReadConfig(item);
+      if (kernel::ErrorOf(offer) != nullptr) continue;
+      this->config->Offer(std::get<config::ConfigOffer>(offer), "platform",
+                          kernel::Clock::now());
+    }
+  }
+
+  std::shared_ptr<ICatalog> catalog;
+  std::shared_ptr<ICatalogReader> reader;
+  std::shared_ptr<config::IConfigStore> config;
+  std::shared_ptr<http::IHttpRuntime> runtime;
+  kernel::TimePoint next;
+  kernel::Millis retry = kFirstSampleRetry;
+};
+
+const kernel::ModuleRegistration kSampleRegistration(
+    {"catalog_sample",
+     {Role::kRank},
+     kernel::StartOrder::kService,
+     {},
+     [] { return std::make_unique<SampleModule>(); }});
+
 const kernel::ModuleRegistration kRegistration(
     {"catalog",
      {Role::kGateway},
--- a/src/config/config_module.cc
+++ b/src/config/config_module.cc
@@ -61,7 +61,7 @@
 
 const kernel::ModuleRegistration kRegistration(
     {"config",
-     {Role::kEntry, Role::kAgent, Role::kGateway},
+     {Role::kEntry, Role::kAgent, Role::kGateway, Role::kRank},
      kernel::StartOrder::kConfig,
      {{"platform", "addresses", SettingKind::kList, "", false, 0, 0,
        "Addresses of the platform's service. Only entries read it."},
--- a/src/config/profile.h
+++ b/src/config/profile.h
@@ -82,6 +82,12 @@
   std::int64_t move_weight = 1;
 };
 
+/// Bounds of the expert maps of a service's groups.
+struct ExpertBounds {
+  std::int64_t places = 0;  ///< Experts that a rank can hold in a layer.
+  std::int64_t spare = 0;   ///< Experts new to a rank in a layer, in one change.
+};
+
 /// One checked revision of the configuration. Never changed once made.
 struct ConfigSnapshot {
   std::uint64_t revision = 0;
@@ -90,6 +96,7 @@
   std::map<std::string, Profile> profiles;
   std::map<std::string, GroupPolicy> groups;
   std::map<std::string, Organisation> organisations_by_key;
+  std::map<std::string, ExpertBounds> expert_bounds;  ///< By service.
   CallerLimits caller_limits;
 
   /// Returns the profile called `name`, or null.
--- /dev/null
+++ b/src/experts/experts_module.cc
@@ -0,0 +1,68 @@
+#include <memory>
+
+#include "config/i_config.h"
+#include "experts/internal/rank_service.h"
+#include "http/i_http_runtime.h"
+#include "kernel/event_log.h"
+#include "kernel/hash.h"
+#include "kernel/module_registry.h"
+
+namespace banyanlane::experts {
+namespace {
+
+using kernel::Role;
+using kernel::SettingKind;
+
+/// How often an agent looks whether something is due.
+constexpr kernel::Millis kTickPeriod{20};
+
+/// The rank role: changes the expert maps of a group together with the agents
+/// of its other ranks.
+class ExpertsModule : public kernel::IModule {
+ public:
+  void Export(kernel::ModuleContext& /*context*/) override {}
+
+  void Resolve(kernel::ModuleContext& context) override {
+    const kernel::Settings& settings = context.settings();
+    this->runtime = context.Resolve<http::IHttpRuntime>();
+    this->service = std::make_shared<RankService>(
+        settings.Text("node", "id"), RankServiceLimits{}, GroupLeadLimits{},
+        context.Resolve<IRankEngine>(), context.Resolve<peers::IPeers>(),
+        kernel::Hash64(kernel::RandomId()));
+    context.Resolve<link::ILinkHub>()->Subscribe(this->service);
+    const std::string served = settings.Text("rank", "service");
+    context.Resolve<config::IConfigStore>()->Subscribe(
+        [service = this->service, served](const config::ConfigPtr& config) {
+          const auto found = config->expert_bounds.find(served);
+          if (found == config->expert_bounds.end()) return;
+          service->SetBounds(
+              {static_cast<std::size_t>(found->second.places),
+               static_cast<std::size_t>(found->second.spare)});
+        });
+  }
+
+  void Start() override {
+    this->runtime->Every(kTickPeriod,
+                         [service = this->service](kernel::TimePoint now) {
+                           service->OnTick(now);
+                         });
+    kernel::LogEvent(kernel::EventId::kProcessReady, {});
+  }
+
+  void Stop() override {}
+
+ private:
+  std::shared_ptr<http::IHttpRuntime> runtime;
+  std::shared_ptr<RankService> service;
+};
+
+const kernel::ModuleRegistration kRegistration(
+    {"experts",
+     {Role::kRank},
+     kernel::StartOrder::kService,
+     {{"rank", "service", SettingKind::kText, "", true, 0, 0,
+       "Service that the ranks' endpoints serve."}},
+     [] { return std::make_unique<ExpertsModule>(); }});
+
+}  // namespace
+}  // namespace banyanlane::experts
--- /dev/null
+++ b/src/experts/internal/even_planner.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "experts/experts_types.h"
+#include "experts/i_rank_engine.h"
+
+namespace banyanlane::experts {
+
+/// Bounds on a map and on the way to it.
+struct MapBounds {
+  std::size_t places = 0;  ///< Experts that a rank can hold in a layer.
+  std::size_t spare = 0;   ///< Experts new to a rank in a layer, in one change.
+};
+
+/// Returns the sum over layers of the most loaded rank's tokens.
+double MapTime(const ExpertMap& map, const GroupLoad& load);
+
+/// Returns the sum over layers of the mean load of a rank: no map is faster.
+double LeastMapTime(const GroupLoad& load, std::size_t ranks);
+
+/// Returns how many experts ranks must copy to go from `before` to `after`.
+std::size_t CopiesBetween(const ExpertMap& before, const ExpertMap& after);
+
+/// Plans maps whose holders of an expert share its tokens evenly.
+class EvenPlanner {
+ public:
+  /// @param least_gain part of a layer's time that one change must save.
+  EvenPlanner(const MapBounds& bounds, double least_gain)
+      : bounds(bounds), least_gain(least_gain) {}
+
+  /// Returns a map that can be reached from `current` in one change and in
+  /// which the most loaded rank of each layer has as little as was found.
+  ExpertMap Improve(const ExpertMap& current, const GroupLoad& load) const;
+
+ private:
+  MapBounds bounds;
+  double least_gain;
+};
+
+}  // namespace banyanlane::experts
--- /dev/null
+++ b/src/experts/internal/map_codec.cc
@@ -0,0 +1,66 @@
+#include "experts/internal/map_codec.h"
+
+namespace banyanlane::experts {
+namespace {
+
+/// Takes `count` lists, each behind its length. @return false when malformed.
+bool TakeLists(const std::vector<std::uint64_t>& flat, std::size_t& at,
+               std::size_t count,
+               std::vector<std::vector<std::uint64_t>>& lists) {
+  for (std::size_t list = 0; list < count; ++list) {
+    if (at >= flat.size()) return false;
+    const std::uint64_t length = flat[at++];
+    if (length > flat.size() - at) return false;
+    const auto begin = flat.begin() + static_cast<std::ptrdiff_t>(at);
+    lists.emplace_back(begin, begin + static_cast<std::ptrdiff_t>(length));
+    at += length;
+  }
+  return true;
+}
+
+}  // namespace
+
+std::vector<std::uint64_t> FlattenExperts(
+    const std::vector<std::vector<std::uint64_t>>& by_layer) {
+  std::vector<std::uint64_t> flat;
+  for (const auto& experts : by_layer) {
+    flat.push_back(experts.size());
+    flat.insert(flat.end(), experts.begin(), experts.end());
+  }
+  return flat;
+}
+
+std::vector<std::vector<std::uint64_t>> UnflattenExperts(
+    const std::vector<std::uint64_t>& flat) {
+  std::vector<std::vector<std::uint64_t>> by_layer;
+  std::size_t at = 0;
+  while (at < flat.size()) {
+    if (!TakeLists(flat, at, 1, by_layer)) return {};
+  }
+  return by_layer;
+}
+
+std::vector<std::uint64_t> FlattenMap(const ExpertMap& map) {
+  std::vector<std::uint64_t> flat = {map.size(),
+                                     map.empty() ? 0 : map.front().size()};
+  for (const auto& layer : map) {
+    const auto ranks = FlattenExperts(layer);
+    flat.insert(flat.end(), ranks.begin(), ranks.end());
+  }
+  return flat;
+}
+
+ExpertMap UnflattenMap(const std::vector<std::uint64_t>& flat) {
+  if (flat.size() < 2) return {};
+  const std::uint64_t layers = flat[0];
+  const std::uint64_t ranks = flat[1];
+  ExpertMap map;
+  std::size_t at = 2;
+  for (std::uint64_t layer = 0; layer < layers; ++layer) {
+    map.emplace_back();
+    if (!TakeLists(flat, at, ranks, map.back())) return {};
+  }
+  return map;
+}
+
+}  // namespace banyanlane::experts
--- a/src/http/http_module.cc
+++ b/src/http/http_module.cc
@@ -28,7 +28,7 @@
 
 const kernel::ModuleRegistration kRegistration(
     {"http",
-     {Role::kEntry, Role::kAgent, Role::kGateway},
+     {Role::kEntry, Role::kAgent, Role::kGateway, Role::kRank},
      kernel::StartOrder::kHttp,
      {{"http", "threads", kernel::SettingKind::kInteger, "1", false, 1, 64,
        "Threads that run connections."}},
--- a/src/kernel/base_module.cc
+++ b/src/kernel/base_module.cc
@@ -26,7 +26,7 @@
 
 const ModuleRegistration kRegistration(
     {"base",
-     {Role::kEntry, Role::kAgent, Role::kGateway},
+     {Role::kEntry, Role::kAgent, Role::kGateway, Role::kRank},
      StartOrder::kBase,
      {{"node", "id", SettingKind::kText, "", true, 0, 0,
        "Name of this node, unlike any other."},
--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -109,6 +109,14 @@
        "An order reached the endpoint."},
       {EventId::kOrderRefused, "order_refused", Level::kWarning,
        "An order was refused, with the reason."},
+      {EventId::kGroupLead, "group_lead", Level::kInfo,
+       "This process begins or ceases to lead its group."},
+      {EventId::kMapPlanned, "map_planned", Level::kInfo,
+       "A better expert map was found; the ranks are asked to change to it."},
+      {EventId::kMapChanged, "map_changed", Level::kInfo,
+       "All ranks use the new expert map."},
+      {EventId::kMapAbandoned, "map_abandoned", Level::kWarning,
+       "A change of expert maps was given up; the old map stays."},
   };
   return rows;
 }
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -45,6 +45,10 @@
   kWorkCleared = 512,
   kOrderApplied = 520,
   kOrderRefused = 521,
+  kGroupLead = 530,
+  kMapPlanned = 531,
+  kMapChanged = 532,
+  kMapAbandoned = 533,
 };
 
 /// Severity of an event.
--- a/src/kernel/module_registry.cc
+++ b/src/kernel/module_registry.cc
@@ -7,10 +7,11 @@
 namespace banyanlane::kernel {
 namespace {
 
-constexpr EnumNames<Role, 3> kRoleNames = {{
+constexpr EnumNames<Role, 4> kRoleNames = {{
     {Role::kEntry, "entry"},
     {Role::kAgent, "agent"},
     {Role::kGateway, "gateway"},
+    {Role::kRank, "rank"},
 }};
 
 }  // namespace
--- a/src/kernel/module_registry.h
+++ b/src/kernel/module_registry.h
@@ -12,7 +12,7 @@
 namespace banyanlane::kernel {
 
 /// Roles a process can have; a module says which ones it is part of.
-enum class Role { kEntry, kAgent, kGateway };
+enum class Role { kEntry, kAgent, kGateway, kRank };
 
 /// Returns the role called `name` on the command line, if there is one.
 std::optional<Role> ParseRole(std::string_view name);
--- a/src/link/internal/codec.cc
+++ b/src/link/internal/codec.cc
@@ -49,6 +49,15 @@
     {Suspicion::kCleared, "cleared"},
 }};
 
+constexpr kernel::EnumNames<SwitchGoal, 6> kSwitchGoalNames = {{
+    {SwitchGoal::kFollow, "follow"},
+    {SwitchGoal::kPrepare, "prepare"},
+    {SwitchGoal::kHold, "hold"},
+    {SwitchGoal::kArm, "arm"},
+    {SwitchGoal::kRelease, "release"},
+    {SwitchGoal::kAbandon, "abandon"},
+}};
+
 struct MalformedFrame {
   std::string detail;
 };
@@ -162,6 +171,17 @@
     }
   }
 
+  void Take(std::vector<std::uint64_t>& numbers) {
+    const json& value = this->Next();
+    if (!value.is_array()) throw MalformedFrame{"a field is not a list"};
+    numbers.reserve(value.size());
+    for (const json& number : value) {
+      if (!number.is_number_unsigned())
+        throw MalformedFrame{"a list holds more than numbers"};
+      numbers.push_back(number.get<std::uint64_t>());
+    }
+  }
+
   void Take(std::vector<PeerState>& states) {
     json& value = this->Next();
     if (!value.is_array()) throw MalformedFrame{"states are not a list"};
@@ -185,6 +205,7 @@
   void Take(Outcome& field) { this->TakeEnum(field, kOutcomeNames); }
   void Take(Reason& field) { this->TakeEnum(field, kReasonNames); }
   void Take(Suspicion& field) { this->TakeEnum(field, kSuspicionNames); }
+  void Take(SwitchGoal& field) { this->TakeEnum(field, kSwitchGoalNames); }
 
   json& array;
   std::size_t next = 1;
@@ -217,6 +238,9 @@
 std::string_view ReasonName(Reason reason) {
   return kernel::NameOf(kReasonNames, reason);
 }
+std::string_view SwitchGoalName(SwitchGoal goal) {
+  return kernel::NameOf(kSwitchGoalNames, goal);
+}
 std::string_view SuspicionName(Suspicion suspicion) {
   return kernel::NameOf(kSuspicionNames, suspicion);
 }
--- a/src/link/link_module.cc
+++ b/src/link/link_module.cc
@@ -51,7 +51,7 @@
 
 const kernel::ModuleRegistration kRegistration(
     {"link",
-     {Role::kEntry, Role::kAgent, Role::kGateway},
+     {Role::kEntry, Role::kAgent, Role::kGateway, Role::kRank},
      kernel::StartOrder::kLink,
      {{"link", "heartbeat_ms", SettingKind::kInteger, "1000", false, 10, 60'000,
        "Longest time without a frame to a peer."},
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -295,8 +295,9 @@
   }
 };
 
-/// What a gateway tells of itself; passed on by others as it is.
+/// What a gateway or rank agent tells of itself; passed on by others as it is.
 struct PeerState {
+  std::string role;
   std::string node;
   std::uint64_t incarnation = 0;  ///< Later lives have higher numbers.
   std::uint64_t sequence = 0;     ///< Grows with each statement of one life.
@@ -310,8 +311,8 @@
 
   template <typename Visitor>
   void Visit(Visitor& visit) {
-    visit(this->node, this->incarnation, this->sequence, this->link_address,
-          this->caller_address, this->failure_domain, this->ready,
+    visit(this->role, this->node, this->incarnation, this->sequence,
+          this->link_address, this->caller_address, this->failure_domain, this->ready,
           this->leaving, this->in_flight);
   }
 };
@@ -326,6 +327,78 @@
   }
 };
 
+/// Rank agent to the group's lead: how things stand at its rank.
+struct RankStatus {
+  std::string group;
+  std::uint64_t epoch = 0;  ///< Of the group's forming.
+  std::uint64_t rank = 0;
+  std::uint64_t size = 0;  ///< Ranks of the group.
+  bool open = false;
+  std::uint64_t step = 0;  ///< Last pass that was begun.
+  std::uint64_t map_version = 0;
+  std::uint64_t prepared_version = 0;  ///< 0: none.
+  std::uint64_t armed_version = 0;     ///< 0: none.
+  std::uint64_t armed_step = 0;
+  std::uint64_t held_step = 0;  ///< 0: none.
+  std::uint64_t fence = 0;      ///< Of the lead that it obeys.
+  std::uint64_t highest_fence = 0;  ///< That it has met.
+  /// Experts in use: for each layer their number, then each of them.
+  std::vector<std::uint64_t> experts;
+
+  template <typename Visitor>
+  void Visit(Visitor& visit) {
+    visit(this->group, this->epoch, this->rank, this->size, this->open,
+          this->step, this->map_version, this->prepared_version,
+          this->armed_version, this->armed_step, this->held_step, this->fence,
+          this->highest_fence, this->experts);
+  }
+};
+
+/// What a rank is to reach.
+enum class SwitchGoal : std::uint64_t {
+  kFollow = 0,   ///< Obey this lead, and no other for a while.
+  kPrepare = 1,  ///< Hold the weights that `map` needs.
+  kHold = 2,     ///< Keep the group from beginning `step`.
+  kArm = 3,      ///< Change to `version` as `step` begins.
+  kRelease = 4,  ///< Keep the group from nothing.
+  kAbandon = 5,  ///< Never change to any version below `version`.
+};
+
+/// Lead to rank agent: what to reach now, in place of all earlier goals.
+struct SwitchCommand {
+  std::string lead;         ///< Process that leads, unlike any other.
+  std::uint64_t fence = 0;  ///< Even; the next odd number goes with what ends
+                            ///< or undoes a change.
+  std::uint64_t number = 0;  ///< Grows with each command of one fence.
+  std::string group;
+  std::uint64_t epoch = 0;
+  SwitchGoal goal = SwitchGoal::kFollow;
+  std::uint64_t version = 0;
+  std::uint64_t step = 0;
+  /// Experts of the map: for each layer and rank their number, then each.
+  std::vector<std::uint64_t> map;
+
+  template <typename Visitor>
+  void Visit(Visitor& visit) {
+    visit(this->lead, this->fence, this->number, this->group, this->epoch,
+          this->goal, this->version, this->step, this->map);
+  }
+};
+
+/// Rank agent to the group's lead: how often its rank's work chose each expert
+/// since the rank started.
+struct ExpertCounts {
+  std::string group;
+  std::uint64_t epoch = 0;
+  std::uint64_t rank = 0;
+  std::vector<std::uint64_t> counts;  ///< Layer by layer.
+
+  template <typename Visitor>
+  void Visit(Visitor& visit) {
+    visit(this->group, this->epoch, this->rank, this->counts);
+  }
+};
+
 /// What is known of work that was running when endpoints were lost.
 enum class Suspicion : std::uint64_t {
   kSuspect = 0,
@@ -352,12 +425,14 @@
     std::variant<Hello, Heartbeat, Submit, Started, Head, Chunk, Ended, Revoke,
                  Cancel, Resume, Consumed, ConfigAnnounce, ConfigPull,
                  ConfigValue, ListAnnounce, ListPull, ListValue, Evidence,
-                 PeerStates>;
+                 PeerStates, RankStatus, SwitchCommand, ExpertCounts>;
 
 /// Returns the stable name of `outcome`.
 std::string_view OutcomeName(Outcome outcome);
 /// Returns the stable name of `reason`.
 std::string_view ReasonName(Reason reason);
+/// Returns the stable name of `goal`.
+std::string_view SwitchGoalName(SwitchGoal goal);
 /// Returns the stable name of `suspicion`.
 std::string_view SuspicionName(Suspicion suspicion);
 
--- a/src/membership/membership_module.cc
+++ b/src/membership/membership_module.cc
@@ -21,7 +21,7 @@
 
 const kernel::ModuleRegistration kRegistration(
     {"membership",
-     {Role::kEntry, Role::kAgent, Role::kGateway},
+     {Role::kEntry, Role::kAgent, Role::kGateway, Role::kRank},
      kernel::StartOrder::kBase,
      {},
      [] { return std::make_unique<MembershipModule>(); }});
--- a/src/peers/i_peers.h
+++ b/src/peers/i_peers.h
@@ -8,9 +8,16 @@
 
 namespace banyanlane::peers {
 
-/// Another gateway, as last heard of.
+/// Role of the processes that callers connect to.
+inline constexpr const char* kGatewayRole = "gateway";
+/// Role of the processes beside the ranks of expert-parallel groups.
+inline constexpr const char* kRankRole = "rank";
+
+/// Another process, as last heard of.
 struct Peer {
+  std::string role;
   std::string node;
+  std::string link_address;
   std::string caller_address;
   std::string failure_domain;
   bool ready = false;
@@ -33,6 +40,12 @@
   /// Returns the gateways heard of lately, without this one.
   virtual std::vector<Peer> Live(kernel::TimePoint now) = 0;
 
+  /// Returns all processes of `role` that are not forgotten, without this one.
+  virtual std::vector<Peer> Known(const std::string& role) = 0;
+
+  /// Keeps links to `addresses` besides those to seeds and gateways.
+  virtual void LinkTo(std::vector<std::string> addresses) = 0;
+
   /// Returns how many requests the live peers together have at `endpoint`.
   virtual std::int64_t InFlightElsewhere(const std::string& endpoint) = 0;
 
--- a/src/peers/internal/peer_gossip.cc
+++ b/src/peers/internal/peer_gossip.cc
@@ -23,7 +23,23 @@
     this->table.Expire(now);
     statement.states.push_back(this->table.Publish(state));
   }
-  this->SendToAll(statement, nullptr);
+  // What only shows that this process lives is for gateways alone.
+  for (const link::LinkPtr& link : this->Links()) {
+    if (link->peer().role == kGatewayRole) link->Send(statement);
+  }
+}
+
+std::vector<Peer> PeerGossip::Known(const std::string& role) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->table.OfRole(role);
+}
+
+void PeerGossip::LinkTo(std::vector<std::string> addresses) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->wanted = std::move(addresses);
+  }
+  this->UpdateTargets();
 }
 
 void PeerGossip::OnLinkUp(const link::LinkPtr& link,
@@ -51,7 +67,7 @@
     }
   }
   if (news.states.empty()) return;
-  this->SendToAll(news, link);
+  this->SendNews(news, link);
   this->UpdateTargets();
 }
 
@@ -70,14 +86,14 @@
 }
 
 void PeerGossip::UpdateTargets() {
-  std::vector<std::string> wanted;
+  std::vector<std::string> addresses;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    wanted = this->table.Targets(this->seeds);
-    if (wanted == this->targets) return;
-    this->targets = wanted;
+    addresses = this->table.Targets(this->seeds, this->wanted);
+    if (addresses == this->targets) return;
+    this->targets = addresses;
   }
-  this->hub->SetTargets(wanted);
+  this->hub->SetTargets(addresses);
 }
 
 std::vector<link::LinkPtr> PeerGossip::Links() {
@@ -87,7 +103,7 @@
   return all;
 }
 
-void PeerGossip::SendToAll(const link::PeerStates& states,
+void PeerGossip::SendNews(const link::PeerStates& states,
                            const link::LinkPtr& except) {
   for (const link::LinkPtr& link : this->Links()) {
     if (link != except) link->Send(states);
--- a/src/peers/internal/peer_gossip.h
+++ b/src/peers/internal/peer_gossip.h
@@ -19,6 +19,8 @@
 
   std::vector<Peer> Live(kernel::TimePoint now) override;
   std::int64_t InFlightElsewhere(const std::string& endpoint) override;
+  std::vector<Peer> Known(const std::string& role) override;
+  void LinkTo(std::vector<std::string> addresses) override;
   void Publish(LocalState state, kernel::TimePoint now) override;
 
   void OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) override;
@@ -34,11 +36,12 @@
 
  private:
   std::vector<link::LinkPtr> Links();
-  void SendToAll(const link::PeerStates& states, const link::LinkPtr& except);
+  void SendNews(const link::PeerStates& states, const link::LinkPtr& except);
 
   std::mutex mutex;
   PeerTable table;
   std::vector<std::string> seeds;
+  std::vector<std::string> wanted;  ///< Asked for by LinkTo.
   std::vector<std::string> targets;
   std::shared_ptr<link::ILinkHub> hub;
   std::map<std::uint64_t, link::LinkPtr> links;
--- a/src/peers/internal/peer_table.cc
+++ b/src/peers/internal/peer_table.cc
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 
+#include "kernel/hash.h"
 #include "kernel/text.h"
 
 namespace banyanlane::peers {
 namespace {
 
+/// Gateways that a rank agent links to besides the seeds, which may be down.
+constexpr std::size_t kGatewaysPerRank = 2;
+
 /// Whether `later` differs from `earlier` in more than its sequence and counts.
 bool SaysMore(const link::PeerState& earlier, const link::PeerState& later) {
   return earlier.incarnation != later.incarnation ||
@@ -66,14 +70,27 @@
 std::vector<Peer> PeerTable::Live(kernel::TimePoint now) const {
   std::vector<Peer> live;
   for (const auto& [node, known] : this->peers) {
-    if (!this->IsLive(known, now)) continue;
-    live.push_back({node, known.state.caller_address,
-                    known.state.failure_domain, known.state.ready,
-                    known.state.leaving});
+    if (known.state.role == kGatewayRole && this->IsLive(known, now))
+      live.push_back(ToPeer(known.state));
   }
   return live;
 }
 
+Peer PeerTable::ToPeer(const link::PeerState& state) {
+  return {state.role,           state.node,
+          state.link_address,   state.caller_address,
+          state.failure_domain, state.ready,
+          state.leaving};
+}
+
+std::vector<Peer> PeerTable::OfRole(const std::string& role) const {
+  std::vector<Peer> found;
+  for (const auto& [node, known] : this->peers) {
+    if (known.state.role == role) found.push_back(ToPeer(known.state));
+  }
+  return found;
+}
+
 std::vector<link::PeerState> PeerTable::All() const {
   std::vector<link::PeerState> all = {this->self};
   for (const auto& entry : this->peers) all.push_back(entry.second.state);
@@ -81,24 +98,47 @@
 }
 
 std::vector<std::string> PeerTable::Targets(
-    const std::vector<std::string>& seeds) const {
+    const std::vector<std::string>& seeds,
+    const std::vector<std::string>& wanted) const {
   std::vector<std::string> targets;
   const auto add = [this, &targets](const std::string& address) {
     const bool known = std::find(targets.begin(), targets.end(), address) !=
                        targets.end();
     if (!known && address != this->self.link_address && !address.empty() &&
-        targets.size() < this->limits.full_mesh) {
+        targets.size() < this->limits.links) {
       targets.push_back(address);
     }
   };
   for (const std::string& seed : seeds) add(seed);
+  for (const std::string& address : wanted) add(address);
+  if (this->self.role != kGatewayRole) {
+    for (const std::string& address : this->ChosenGateways()) add(address);
+    return targets;
+  }
   for (const auto& entry : this->peers) {
-    const std::string& address = entry.second.state.link_address;
-    if (address > this->self.link_address) add(address);
+    const link::PeerState& state = entry.second.state;
+    const bool dials = state.role == kGatewayRole &&
+                       state.link_address > this->self.link_address;
+    if (dials) add(state.link_address);
   }
   return targets;
 }
 
+std::vector<std::string> PeerTable::ChosenGateways() const {
+  std::vector<std::pair<std::uint64_t, std::string>> weighed;
+  for (const auto& [node, known] : this->peers) {
+    if (known.state.role != kGatewayRole || known.state.leaving) continue;
+    weighed.emplace_back(kernel::RendezvousWeight(this->self.node, node),
+                         known.state.link_address);
+  }
+  std::sort(weighed.rbegin(), weighed.rend());
+  std::vector<std::string> chosen;
+  for (const auto& entry : weighed) {
+    if (chosen.size() < kGatewaysPerRank) chosen.push_back(entry.second);
+  }
+  return chosen;
+}
+
 void PeerTable::SumInFlight(kernel::TimePoint now) {
   this->in_flight.clear();
   for (const auto& entry : this->peers) {
--- a/src/peers/internal/peer_table.h
+++ b/src/peers/internal/peer_table.h
@@ -19,11 +19,11 @@
   kernel::Millis silence{2'500};
   /// A peer that is not live is forgotten after this.
   kernel::Millis memory{30'000};
-  /// Peers up to which each gateway links to every other one.
-  std::size_t full_mesh = 48;
+  /// Most links that a process keeps.
+  std::size_t links = 96;
 };
 
-/// What is known of all gateways. I/O-free; not thread-safe.
+/// What is known of all gateways and rank agents. I/O-free; not thread-safe.
 class PeerTable {
  public:
   /// @param self this gateway's first statement.
@@ -40,15 +40,21 @@
   /// Drops the peers that have been silent for long.
   void Expire(kernel::TimePoint now);
 
-  /// Returns the peers heard of within the silence bound.
+  /// Returns the gateways heard of within the silence bound.
   std::vector<Peer> Live(kernel::TimePoint now) const;
 
+  /// Returns the peers of `role` that are not forgotten.
+  std::vector<Peer> OfRole(const std::string& role) const;
+
   /// Returns all statements known, this gateway's first.
   std::vector<link::PeerState> All() const;
 
   /// Returns the addresses to keep links to: `seeds`, and of each known pair
   /// of gateways one side dials.
-  std::vector<std::string> Targets(const std::vector<std::string>& seeds) const;
+  /// @param wanted linked to besides.
+  std::vector<std::string> Targets(
+      const std::vector<std::string>& seeds,
+      const std::vector<std::string>& wanted) const;
 
   /// Returns the requests that live peers have at `endpoint`.
   std::int64_t InFlightElsewhere(const std::string& endpoint) const;
@@ -59,7 +65,9 @@
     kernel::TimePoint heard_at;
   };
 
+  static Peer ToPeer(const link::PeerState& state);
   bool IsLive(const Known& known, kernel::TimePoint now) const;
+  std::vector<std::string> ChosenGateways() const;
   void SumInFlight(kernel::TimePoint now);
 
   link::PeerState self;
--- a/src/peers/peers_module.cc
+++ b/src/peers/peers_module.cc
@@ -16,15 +16,19 @@
 /// Exports IPeers, and opens the port for links.
 class PeersModule : public kernel::IModule {
  public:
+  explicit PeersModule(std::string role) : role(std::move(role)) {}
+
   void Export(kernel::ModuleContext& context) override {
     const kernel::Settings& settings = context.settings();
     link::PeerState self;
+    self.role = this->role;
     self.node = settings.Text("node", "id");
     self.incarnation = kernel::Hash64(kernel::RandomId());
     self.failure_domain = settings.Text("node", "failure_domain");
     self.link_address = settings.Text("link", "listen");
-    self.caller_address = settings.Text("gateway", "address");
-    this->hello.role = "gateway";
+    if (this->role == kGatewayRole)
+      self.caller_address = settings.Text("gateway", "address");
+    this->hello.role = this->role;
     this->hello.node = self.node;
     this->hello.incarnation = self.incarnation;
     this->hello.failure_domain = self.failure_domain;
@@ -82,6 +86,7 @@
     return heartbeat;
   }
 
+  std::string role;
   link::Hello hello;
   std::string address;
   std::shared_ptr<link::ILinkHub> hub;
@@ -90,15 +95,26 @@
   std::shared_ptr<membership::IMembership> membership;
 };
 
-const kernel::ModuleRegistration kRegistration(
-    {"peers",
+kernel::Settings::Schema LinkSettings() {
+  return {{"link", "listen", SettingKind::kText, "", true, 0, 0,
+           "Where gateways and rank agents link to."},
+          {"link", "seeds", SettingKind::kList, "", false, 0, 0,
+           "Gateways to link to at first; some may be down."}};
+}
+
+const kernel::ModuleRegistration kGatewayPeers(
+    {"gateway_peers",
      {Role::kGateway},
      kernel::StartOrder::kService,
-     {{"link", "listen", SettingKind::kText, "", true, 0, 0,
-       "Where other gateways link to."},
-      {"link", "seeds", SettingKind::kList, "", false, 0, 0,
-       "Gateways to link to at first; some may be down."}},
-     [] { return std::make_unique<PeersModule>(); }});
+     LinkSettings(),
+     [] { return std::make_unique<PeersModule>(kGatewayRole); }});
+
+const kernel::ModuleRegistration kRankPeers(
+    {"rank_peers",
+     {Role::kRank},
+     kernel::StartOrder::kService,
+     LinkSettings(),
+     [] { return std::make_unique<PeersModule>(kRankRole); }});
 
 }  // namespace
 }  // namespace banyanlane::peers
