Plan few copies for each change of a map, and begin it sooner

Cause: a change waits for the rank that copies most, 0.11 s an expert, and it began four passes after the weights were there. Change: at most three new experts a rank in one change, chosen over all layers by what they save; the step lies 60 ms ahead; a change must save 1.5% of its layer's time.

--- a/src/experts/internal/even_planner.cc
+++ b/src/experts/internal/even_planner.cc
@@ -9,11 +9,19 @@
 
 using LayerMap = std::vector<std::vector<std::uint64_t>>;
 
-/// Changes that are tried on one layer before it is left as it is.
-constexpr int kMostChanges = 96;
+/// Changes that are made to one map at most, as a multiple of its layers and
+/// ranks.
+constexpr std::size_t kChangesPerRank = 4;
+
 /// Power under which loads are summed: high, so that the most loaded rank
 /// counts most, and not so high that the next ones count for nothing.
-constexpr int kPower = 12;
+constexpr double kPower = 12;
+
+double RaiseToPower(double base) {
+  const double square = base * base;
+  const double fourth = square * square;
+  return fourth * fourth * fourth;
+}
 
 std::vector<double> LoadsOf(const LayerMap& layer, const LayerLoad& load) {
   std::vector<std::size_t> holders(load.size(), 0);
@@ -28,15 +36,31 @@
   return loads;
 }
 
+/// What a change does to the loads of some ranks.
+using Deltas = std::vector<std::pair<std::size_t, double>>;
+
+/// One change of a layer's map.
+struct Change {
+  enum class Kind { kNone, kAdd, kReplace, kSwap, kMove, kDrop };
+  Kind kind = Kind::kNone;
+  std::size_t from = 0;      ///< The most loaded rank.
+  std::size_t to = 0;        ///< The rank that takes the expert.
+  std::uint64_t expert = 0;  ///< Given to `to`.
+  std::uint64_t other = 0;   ///< Given up by `to`.
+  double saved = 0;          ///< Of the layer's time, in tokens.
+};
+
 /// One layer while it is improved.
 class LayerSearch {
  public:
+  /// @param copies how many experts each rank has still to copy in all layers.
   LayerSearch(const LayerMap& current, const LayerLoad& load,
-              const MapBounds& bounds)
+              const MapBounds& bounds, std::vector<std::size_t>& copies)
       : before(current),
         layer(current),
         load(load),
         bounds(bounds),
+        copies(copies),
         held(current.size(), std::vector<bool>(load.size(), false)),
         holders(load.size(), 0),
         fresh(current.size(), 0) {
@@ -52,43 +76,65 @@
     this->mean = std::max(total / static_cast<double>(current.size()), 1e-12);
   }
 
-  /// Makes the change that helps the most loaded rank most. @return whether
-  /// there was one.
-  bool Step(double least_gain) {
+  /// Returns the change that relieves the most loaded rank best.
+  /// @param least_gain part of the layer's time that it must save.
+  Change Best(double least_gain) const {
     const auto slowest = static_cast<std::size_t>(
         std::max_element(this->loads.begin(), this->loads.end()) -
         this->loads.begin());
+    double sum = 0;
+    for (const double rank : this->loads) sum += this->CostOf(rank);
     Change best;
-    best.cost = this->Cost(this->loads) * (1 - least_gain);
+    best.saved = this->Time(sum) * least_gain;
     for (const std::uint64_t expert : this->layer[slowest]) {
       for (std::size_t rank = 0; rank < this->layer.size(); ++rank) {
-        if (this->loads[rank] >= this->loads[slowest]) continue;
-        if (!this->held[rank][expert]) this->TryBring(expert, slowest, rank, best);
+        const bool colder = this->loads[rank] < this->loads[slowest];
+        if (colder && !this->held[rank][expert])
+          this->TryBring(expert, slowest, rank, sum, best);
       }
-      this->TryDrop(expert, slowest, best);
+      this->TryDrop(expert, slowest, sum, best);
+    }
+    return best;
+  }
+
+  void Apply(const Change& change) {
+    switch (change.kind) {
+      case Change::Kind::kNone:
+        break;
+      case Change::Kind::kAdd:
+        this->Give(change.to, change.expert);
+        break;
+      case Change::Kind::kReplace:
+        this->Take(change.to, change.other);
+        this->Give(change.to, change.expert);
+        break;
+      case Change::Kind::kSwap:
+        this->Take(change.to, change.other);
+        this->Take(change.from, change.expert);
+        this->Give(change.to, change.expert);
+        this->Give(change.from, change.other);
+        break;
+      case Change::Kind::kMove:
+        this->Take(change.from, change.expert);
+        this->Give(change.to, change.expert);
+        break;
+      case Change::Kind::kDrop:
+        this->Take(change.from, change.expert);
+        break;
     }
-    if (best.kind == Change::Kind::kNone) return false;
-    this->Apply(best);
-    return true;
+    this->loads = LoadsOf(this->layer, this->load);
   }
 
   const LayerMap& result() const { return this->layer; }
 
  private:
-  struct Change {
-    enum class Kind { kNone, kAdd, kReplace, kSwap, kMove, kDrop };
-    Kind kind = Kind::kNone;
-    std::size_t from = 0;      ///< The most loaded rank.
-    std::size_t to = 0;        ///< The rank that takes the expert.
-    std::uint64_t expert = 0;  ///< Given to `to`.
-    std::uint64_t other = 0;   ///< Given up by `to`.
-    double cost = 0;
-  };
-
-  double Cost(const std::vector<double>& ranks) const {
-    double sum = 0;
-    for (const double rank : ranks) sum += std::pow(rank / this->mean, kPower);
-    return sum;
+  double CostOf(double rank_load) const {
+    return RaiseToPower(std::max(0.0, rank_load) / this->mean);
+  }
+
+  /// Returns the layer's time that a sum of costs stands for.
+  double Time(double sum) const {
+    return std::pow(std::max(sum, 0.0), 1 / kPower) * this->mean;
   }
 
   bool WasHeld(std::size_t rank, std::uint64_t expert) const {
@@ -97,90 +143,102 @@
   }
 
   bool MayTake(std::size_t rank, std::uint64_t expert) const {
-    return this->WasHeld(rank, expert) ||
-           this->fresh[rank] < this->bounds.spare;
+    if (this->WasHeld(rank, expert)) return true;
+    return this->fresh[rank] < this->bounds.spare &&
+           this->copies[rank] < this->bounds.copies;
+  }
+
+  double Share(std::uint64_t expert, std::size_t count) const {
+    return this->load[expert] / static_cast<double>(count);
   }
 
-  /// Adds to `ranks` what a change in the number of holders does to those of
-  /// `expert`, without `skip`.
-  void Spread(std::vector<double>& ranks, std::uint64_t expert, double each,
+  /// Adds `each` to the holders of `expert` other than `skip`.
+  void Spread(Deltas& deltas, std::uint64_t expert, double each,
               std::size_t skip) const {
     for (std::size_t rank = 0; rank < this->layer.size(); ++rank) {
-      if (rank != skip && this->held[rank][expert]) ranks[rank] += each;
+      if (rank != skip && this->held[rank][expert])
+        deltas.emplace_back(rank, each);
     }
   }
 
-  double Share(std::uint64_t expert, std::size_t count) const {
-    return this->load[expert] / static_cast<double>(count);
-  }
-
   void TryBring(std::uint64_t expert, std::size_t from, std::size_t to,
-                Change& best) const {
+                double sum, Change& best) const {
     if (!this->MayTake(to, expert)) return;
     const std::size_t count = this->holders[expert];
     const double now = this->Share(expert, count);
     const double then = this->Share(expert, count + 1);
-    std::vector<double> added = this->loads;
+    Deltas added = {{to, then}};
     this->Spread(added, expert, then - now, this->layer.size());
-    added[to] += then;
-    std::vector<double> moved = this->loads;
-    moved[from] -= now;
-    moved[to] += now;
+    const Deltas moved = {{from, -now}, {to, now}};
     if (this->layer[to].size() < this->bounds.places) {
-      this->Offer({Change::Kind::kAdd, from, to, expert, expert, 0}, added,
+      this->Offer({Change::Kind::kAdd, from, to, expert, expert, 0}, added, sum,
                   best);
       this->Offer({Change::Kind::kMove, from, to, expert, expert, 0}, moved,
-                  best);
+                  sum, best);
     }
     for (const std::uint64_t other : this->layer[to]) {
-      if (other == expert) continue;
-      this->TryExchange(expert, other, from, to, added, moved, best);
+      if (other != expert)
+        this->TryExchange({Change::Kind::kNone, from, to, expert, other, 0},
+                          added, moved, sum, best);
     }
   }
 
-  void TryExchange(std::uint64_t expert, std::uint64_t other, std::size_t from,
-                   std::size_t to, const std::vector<double>& added,
-                   const std::vector<double>& moved, Change& best) const {
-    const std::size_t count = this->holders[other];
-    const double share = this->Share(other, count);
+  void TryExchange(Change change, const Deltas& added, const Deltas& moved,
+                   double sum, Change& best) const {
+    const std::size_t count = this->holders[change.other];
+    const double share = this->Share(change.other, count);
     if (count > 1) {
-      std::vector<double> ranks = added;
-      ranks[to] -= share;
-      this->Spread(ranks, other, this->Share(other, count - 1) - share, to);
-      this->Offer({Change::Kind::kReplace, from, to, expert, other, 0}, ranks,
-                  best);
+      Deltas deltas = added;
+      deltas.emplace_back(change.to, -share);
+      this->Spread(deltas, change.other,
+                   this->Share(change.other, count - 1) - share, change.to);
+      change.kind = Change::Kind::kReplace;
+      this->Offer(change, deltas, sum, best);
     }
-    if (!this->held[from][other] && this->MayTake(from, other)) {
-      std::vector<double> ranks = moved;
-      ranks[to] -= share;
-      ranks[from] += share;
-      this->Offer({Change::Kind::kSwap, from, to, expert, other, 0}, ranks,
-                  best);
+    const bool can_swap = !this->held[change.from][change.other] &&
+                          this->MayTake(change.from, change.other);
+    if (can_swap) {
+      Deltas deltas = moved;
+      deltas.emplace_back(change.to, -share);
+      deltas.emplace_back(change.from, share);
+      change.kind = Change::Kind::kSwap;
+      this->Offer(change, deltas, sum, best);
     }
   }
 
-  void TryDrop(std::uint64_t expert, std::size_t from, Change& best) const {
+  void TryDrop(std::uint64_t expert, std::size_t from, double sum,
+               Change& best) const {
     const std::size_t count = this->holders[expert];
     if (count < 2) return;
     const double share = this->Share(expert, count);
-    std::vector<double> ranks = this->loads;
-    ranks[from] -= share;
-    this->Spread(ranks, expert, this->Share(expert, count - 1) - share, from);
-    this->Offer({Change::Kind::kDrop, from, from, expert, expert, 0}, ranks,
-                best);
+    Deltas deltas = {{from, -share}};
+    this->Spread(deltas, expert, this->Share(expert, count - 1) - share, from);
+    this->Offer({Change::Kind::kDrop, from, from, expert, expert, 0}, deltas,
+                sum, best);
   }
 
-  void Offer(Change change, const std::vector<double>& ranks,
-             Change& best) const {
-    change.cost = this->Cost(ranks);
-    if (change.cost < best.cost) best = change;
+  void Offer(Change change, Deltas deltas, double sum, Change& best) const {
+    std::sort(deltas.begin(), deltas.end());
+    double changed = sum;
+    for (std::size_t i = 0; i < deltas.size();) {
+      const std::size_t rank = deltas[i].first;
+      double delta = 0;
+      for (; i < deltas.size() && deltas[i].first == rank; ++i)
+        delta += deltas[i].second;
+      changed += this->CostOf(this->loads[rank] + delta) -
+                 this->CostOf(this->loads[rank]);
+    }
+    change.saved = this->Time(sum) - this->Time(changed);
+    if (change.saved > best.saved) best = change;
   }
 
   void Give(std::size_t rank, std::uint64_t expert) {
     this->layer[rank].push_back(expert);
     this->held[rank][expert] = true;
     ++this->holders[expert];
-    if (!this->WasHeld(rank, expert)) ++this->fresh[rank];
+    if (this->WasHeld(rank, expert)) return;
+    ++this->fresh[rank];
+    ++this->copies[rank];
   }
 
   void Take(std::size_t rank, std::uint64_t expert) {
@@ -188,48 +246,27 @@
     experts.erase(std::find(experts.begin(), experts.end(), expert));
     this->held[rank][expert] = false;
     --this->holders[expert];
-    if (!this->WasHeld(rank, expert)) --this->fresh[rank];
-  }
-
-  void Apply(const Change& change) {
-    switch (change.kind) {
-      case Change::Kind::kNone:
-        break;
-      case Change::Kind::kAdd:
-        this->Give(change.to, change.expert);
-        break;
-      case Change::Kind::kReplace:
-        this->Take(change.to, change.other);
-        this->Give(change.to, change.expert);
-        break;
-      case Change::Kind::kSwap:
-        this->Take(change.to, change.other);
-        this->Take(change.from, change.expert);
-        this->Give(change.to, change.expert);
-        this->Give(change.from, change.other);
-        break;
-      case Change::Kind::kMove:
-        this->Take(change.from, change.expert);
-        this->Give(change.to, change.expert);
-        break;
-      case Change::Kind::kDrop:
-        this->Take(change.from, change.expert);
-        break;
-    }
-    this->loads = LoadsOf(this->layer, this->load);
+    if (this->WasHeld(rank, expert)) return;
+    --this->fresh[rank];
+    --this->copies[rank];
   }
 
   const LayerMap& before;
   LayerMap layer;
   const LayerLoad& load;
   const MapBounds& bounds;
+  std::vector<std::size_t>& copies;     ///< By rank, over all layers.
   std::vector<std::vector<bool>> held;  ///< By rank and expert.
   std::vector<std::size_t> holders;     ///< By expert.
-  std::vector<std::size_t> fresh;  ///< Experts new to each rank.
+  std::vector<std::size_t> fresh;       ///< Experts new to each rank.
   std::vector<double> loads;
   double mean = 0;
 };
 
+double SavedBy(const Change& change) {
+  return change.kind == Change::Kind::kNone ? 0 : change.saved;
+}
+
 }  // namespace
 
 double MapTime(const ExpertMap& map, const GroupLoad& load) {
@@ -263,14 +300,37 @@
 
 ExpertMap EvenPlanner::Improve(const ExpertMap& current,
                                const GroupLoad& load) const {
-  ExpertMap improved;
-  for (std::size_t layer = 0; layer < current.size(); ++layer) {
-    LayerSearch search(current[layer], load[layer], this->bounds);
-    for (int change = 0; change < kMostChanges; ++change) {
-      if (!search.Step(this->least_gain)) break;
-    }
-    improved.push_back(search.result());
+  const std::size_t ranks = current.empty() ? 0 : current.front().size();
+  std::vector<std::size_t> copies(ranks, 0);
+  std::vector<LayerSearch> layers;
+  layers.reserve(current.size());
+  for (std::size_t layer = 0; layer < current.size(); ++layer)
+    layers.emplace_back(current[layer], load[layer], this->bounds, copies);
+  std::vector<Change> best;
+  for (const LayerSearch& layer : layers)
+    best.push_back(layer.Best(this->least_gain));
+  // The copies of a rank are shared by the layers: the change that saves most
+  // comes first.
+  const std::size_t most = kChangesPerRank * ranks * current.size();
+  for (std::size_t made = 0; made < most; ++made) {
+    const auto chosen = static_cast<std::size_t>(
+        std::max_element(best.begin(), best.end(),
+                         [](const Change& left, const Change& right) {
+                           return SavedBy(left) < SavedBy(right);
+                         }) -
+        best.begin());
+    if (best.empty() || best[chosen].kind == Change::Kind::kNone) break;
+    // What was best before may take more copies than are left by now.
+    const Change renewed = layers[chosen].Best(this->least_gain);
+    const bool still_best = renewed.kind != Change::Kind::kNone &&
+                            renewed.saved >= best[chosen].saved;
+    best[chosen] = renewed;
+    if (!still_best) continue;
+    layers[chosen].Apply(renewed);
+    best[chosen] = layers[chosen].Best(this->least_gain);
   }
+  ExpertMap improved;
+  for (const LayerSearch& layer : layers) improved.push_back(layer.result());
   return improved;
 }
 
--- a/src/experts/internal/even_planner.h
+++ b/src/experts/internal/even_planner.h
@@ -13,6 +13,9 @@
 struct MapBounds {
   std::size_t places = 0;  ///< Experts that a rank can hold in a layer.
   std::size_t spare = 0;   ///< Experts new to a rank in a layer, in one change.
+  /// Experts new to a rank in all layers, in one change: few, since the change
+  /// waits for the rank that copies most.
+  std::size_t copies = 3;
 };
 
 /// Returns the sum over layers of the most loaded rank's tokens.
--- a/src/experts/internal/group_lead.cc
+++ b/src/experts/internal/group_lead.cc
@@ -17,8 +17,8 @@
 /// Versions and fences of two leads that know nothing of one another differ by
 /// chance: one in this many is the same.
 constexpr std::uint64_t kChance = std::uint64_t{1} << 20U;
-/// Part of a layer's cost that a single change to its map must save.
-constexpr double kLeastGainOfChange = 0.02;
+/// Part of a layer's time that a single change to its map must save.
+constexpr double kLeastGainOfChange = 0.015;
 constexpr double kStepWeightOfNew = 0.3;
 constexpr kernel::Millis kStepSpan{250};
 constexpr double kLongestStepMillis = 2'000;
--- a/src/experts/internal/group_lead.h
+++ b/src/experts/internal/group_lead.h
@@ -28,8 +28,8 @@
   kernel::Millis arm{1'500};
   /// Time between the choice of the step and its beginning: arming takes a few
   /// local calls and two delays between failure domains.
-  kernel::Millis lead_time{160};
-  std::uint64_t least_lead_steps = 3;
+  kernel::Millis lead_time{60};
+  std::uint64_t least_lead_steps = 1;
   /// Commands are repeated after this.
   kernel::Millis repeat{250};
   kernel::Millis plan_period{200};
@@ -58,7 +58,10 @@
             std::uint64_t seed);
 
   /// Sets what maps may look like. Nothing is planned while `places` is 0.
-  void SetBounds(const MapBounds& bounds) { this->limits.bounds = bounds; }
+  void SetBounds(std::size_t places, std::size_t spare) {
+    this->limits.bounds.places = places;
+    this->limits.bounds.spare = spare;
+  }
 
   void OnStatus(const link::RankStatus& status, kernel::TimePoint now);
   void OnCounts(const link::ExpertCounts& counts, kernel::TimePoint now);
--- a/src/experts/internal/rank_service.cc
+++ b/src/experts/internal/rank_service.cc
@@ -43,9 +43,9 @@
     outgoing.link->Send(outgoing.message);
 }
 
-void RankService::SetBounds(const MapBounds& bounds) {
+void RankService::SetBounds(std::size_t places, std::size_t spare) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->lead.SetBounds(bounds);
+  this->lead.SetBounds(places, spare);
 }
 
 void RankService::OnLinkUp(const link::LinkPtr& link,
--- a/src/experts/internal/rank_service.h
+++ b/src/experts/internal/rank_service.h
@@ -41,7 +41,7 @@
               std::shared_ptr<peers::IPeers> peers, std::uint64_t seed);
 
   /// Sets what maps may look like.
-  void SetBounds(const MapBounds& bounds);
+  void SetBounds(std::size_t places, std::size_t spare);
 
   void OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) override;
   void OnMessage(const link::LinkPtr& link, link::Message message,
