Remember rank agents that are silent

Cause: rank agents are heard of by others only when something changes, and were forgotten after 30 s; the lead then dropped its links and changed no map. Change: rank agents are remembered for an hour. Test peer_table/forgets_*.

--- a/src/peers/internal/peer_table.cc
+++ b/src/peers/internal/peer_table.cc
@@ -57,7 +57,10 @@
 
 void PeerTable::Expire(kernel::TimePoint now) {
   for (auto it = this->peers.begin(); it != this->peers.end();) {
-    const bool expired = now - it->second.heard_at > this->limits.memory;
+    const auto memory = it->second.state.role == kGatewayRole
+                            ? this->limits.gateway_memory
+                            : this->limits.rank_memory;
+    const bool expired = now - it->second.heard_at > memory;
     it = expired ? this->peers.erase(it) : std::next(it);
   }
   this->SumInFlight(now);
--- a/src/peers/internal/peer_table.h
+++ b/src/peers/internal/peer_table.h
@@ -17,8 +17,11 @@
   /// A peer that has made no statement for this long is not live: five of its
   /// periods.
   kernel::Millis silence{2'500};
-  /// A peer that is not live is forgotten after this.
-  kernel::Millis memory{30'000};
+  /// A gateway that is not live is forgotten after this.
+  kernel::Millis gateway_memory{30'000};
+  /// Rank agents are heard of only when something changes, and must be found by
+  /// one that comes to lead long after.
+  kernel::Millis rank_memory{3'600'000};
   /// Most links that a process keeps.
   std::size_t links = 96;
 };
