Never write a refusal into a stream, and bound retries after a restart

Change: one way to give up, which cuts a stream or picks the status by what may have run; slack comes back over one window; an address with another owner is not used before the list says more; a silent stream moves only while other endpoints answer; a version that a rank refuses is raised. Tests: direct_flow/*, retry_allowance/*, endpoint_pool/*.

--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -32,7 +32,8 @@
         ReadSettings(settings), this->runtime,
         context.Resolve<const ICallerProtocol>(),
         context.Resolve<peers::IPeers>(), membership,
-        context.Resolve<kernel::Metrics>(), kernel::Hash64(kernel::RandomId()));
+        context.Resolve<kernel::Metrics>(), kernel::Hash64(kernel::RandomId()),
+        kernel::Clock::now());
     context.Export<IGateway>(this->service);
     this->store->Subscribe(
         [this](const config::ConfigPtr& config) { this->OnConfig(config); });
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -95,9 +95,8 @@
 
 void DirectFlow::Wait(kernel::TimePoint now) {
   const std::string& service = this->request.service;
-  if (!this->context.pool.HasEndpoints(service)) {
-    this->GiveUp(kUnavailable, "no_endpoint",
-                 this->Jittered(this->context.limits.retry_after));
+  if (!this->context.pool.HasEndpoints(service, now)) {
+    this->GiveUp("no_endpoint", this->context.limits.retry_after);
     return;
   }
   const auto part = kernel::Millis(static_cast<std::int64_t>(
@@ -110,9 +109,8 @@
   const auto expected =
       this->context.line.ExpectedWait(service, this->request.urgency, now);
   if (expected && *expected > longest) {
-    this->GiveUp(kUnavailable, "overloaded",
-                 this->Jittered(*expected - longest +
-                                this->context.limits.retry_after));
+    this->GiveUp("overloaded",
+                 *expected - longest + this->context.limits.retry_after);
     return;
   }
   this->state = State::kWaiting;
@@ -185,6 +183,7 @@
   for (const StreamEvent& event : this->splitter.Feed(data)) {
     continues = continues && this->TakeEvent(event, text);
   }
+  this->context.pool.OnProgress(*this->endpoint, now);
   if (this->attempt_until != this->answer_by)
     this->attempt_until = now + this->context.limits.silence;
   if (!text.empty()) {
@@ -248,16 +247,11 @@
     return;
   }
   this->Release(failed ? AttemptResult::kFailed : AttemptResult::kAnswered);
-  if (this->streaming) {
-    // The caller has a part of the stream: nothing else can follow it.
-    this->actions.push_back(CutAnswer{});
-    this->Finish("cut");
-    return;
-  }
-  if (PromisesNotRun(status)) {
-    // The endpoint did not say that the request has not run.
+  // The endpoint did not say that the request has not run; nor can a whole
+  // answer follow the part of a stream that the caller has.
+  if (this->streaming || PromisesNotRun(status)) {
     this->may_have_run = true;
-    this->GiveUp(kBadGateway, "endpoint_failed", -1);
+    this->GiveUp("endpoint_failed", this->context.limits.retry_after);
     return;
   }
   http::HttpResponse response;
@@ -282,13 +276,10 @@
   const bool give_up =
       this->unreachable > this->context.limits.most_unreachable ||
       this->MillisLeft(now) < this->context.limits.least_time.count();
-  if (!give_up) {
-    this->SendOrWait(now);
-  } else if (this->may_have_run) {
-    this->OnNoTimeLeft();
+  if (give_up) {
+    this->GiveUp("unreachable", this->context.limits.retry_after);
   } else {
-    this->GiveUp(kUnavailable, "unreachable",
-                 this->Jittered(this->context.limits.retry_after));
+    this->SendOrWait(now);
   }
   return this->Take();
 }
@@ -300,12 +291,7 @@
     this->SendOrWait(now);
     return;
   }
-  if (this->may_have_run || this->streaming) {
-    this->OnNoTimeLeft();
-    return;
-  }
-  this->GiveUp(kUnavailable, "endpoints_full",
-               this->Jittered(this->context.limits.retry_after));
+  this->GiveUp("endpoints_full", this->context.limits.retry_after);
 }
 
 void DirectFlow::OnLost(AttemptResult /*result*/, kernel::TimePoint now) {
@@ -314,12 +300,7 @@
     this->SendOrWait(now);
     return;
   }
-  if (this->streaming) {
-    this->actions.push_back(CutAnswer{});
-    this->Finish("cut");
-    return;
-  }
-  this->GiveUp(kBadGateway, "answer_lost", -1);
+  this->GiveUp("answer_lost", this->context.limits.retry_after);
 }
 
 bool DirectFlow::TakeRetry(kernel::TimePoint now) {
@@ -338,33 +319,26 @@
   return true;
 }
 
-void DirectFlow::OnNoTimeLeft() {
-  if (this->streaming) {
-    this->actions.push_back(CutAnswer{});
-    this->Finish("cut");
-    return;
-  }
-  this->GiveUp(this->may_have_run ? kTimedOut : kUnavailable, "timeout",
-               this->may_have_run
-                   ? -1
-                   : this->Jittered(this->context.limits.retry_after));
-}
-
 DirectActions DirectFlow::OnTimer(kernel::TimePoint now) {
   if (this->state == State::kDone) return {};
   if (this->state == State::kWaiting) {
     if (now < this->wait_until && now < this->answer_by) return {};
     this->EndWait(now);
-    this->OnNoTimeLeft();
+    this->GiveUp("no_room", this->context.limits.retry_after);
     return this->Take();
   }
   if (now >= this->answer_by) {
     this->may_have_run = true;
     this->Abandon(AttemptResult::kCancelled);
-    this->OnNoTimeLeft();
+    this->GiveUp("timeout", this->context.limits.retry_after);
     return this->Take();
   }
   if (now < this->attempt_until) return {};
+  if (!this->IsOutlier(now)) {
+    // All endpoints are silent: they wait for one another, and would elsewhere.
+    this->attempt_until = now + this->context.limits.silence_check;
+    return this->Take();
+  }
   // Without another sending in sight, the endpoint's silence is no reason to
   // end the answer.
   if (!this->TakeRetry(now)) {
@@ -377,6 +351,12 @@
   return this->Take();
 }
 
+bool DirectFlow::IsOutlier(kernel::TimePoint now) const {
+  if (!this->request.profile->streaming || !this->endpoint) return true;
+  return this->context.pool.OthersProgress(*this->endpoint,
+                                           now - this->context.limits.progress);
+}
+
 DirectActions DirectFlow::OnCallerGone(kernel::TimePoint now) {
   if (this->state == State::kDone) return {};
   if (this->state == State::kWaiting) this->EndWait(now);
@@ -404,10 +384,22 @@
   this->endpoint.reset();
 }
 
-void DirectFlow::GiveUp(int status, std::string_view reason,
-                        std::int64_t retry_after_ms) {
-  this->actions.push_back(
-      Refuse{status, std::string(reason), retry_after_ms});
+void DirectFlow::GiveUp(std::string_view reason, kernel::Millis retry_after) {
+  if (this->streaming) {
+    // The caller has a part of the stream, which nothing else can follow.
+    this->actions.push_back(CutAnswer{});
+    this->Finish(reason);
+    return;
+  }
+  Refuse refusal;
+  refusal.reason = std::string(reason);
+  if (this->may_have_run) {
+    refusal.status = reason == "timeout" ? kTimedOut : kBadGateway;
+  } else {
+    refusal.status = kUnavailable;
+    refusal.retry_after_ms = this->Jittered(retry_after);
+  }
+  this->actions.push_back(std::move(refusal));
   this->Finish(reason);
 }
 
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -26,6 +26,10 @@
   /// on a lost endpoint is answered after the platform's own bound, which is
   /// waited for first.
   kernel::Millis silence{1'600};
+  /// A silent stream is looked at again after this.
+  kernel::Millis silence_check{300};
+  /// Endpoints count as answering when an event came from them within this.
+  kernel::Millis progress{500};
   /// Longest wait for room, as a part of the time that the caller gives.
   double longest_wait_part = 0.25;
   /// Longest wait for room of a stream, whose callers leave when it is silent.
@@ -96,13 +100,15 @@
   void OnRefused(kernel::TimePoint now);
   /// The attempt may have run and brings no whole answer.
   void OnLost(AttemptResult result, kernel::TimePoint now);
-  void OnNoTimeLeft();
+  /// Returns whether other endpoints answer while this one is silent.
+  bool IsOutlier(kernel::TimePoint now) const;
   bool TakeRetry(kernel::TimePoint now);
 
   void Abandon(AttemptResult result);
   void Release(AttemptResult result);
-  void GiveUp(int status, std::string_view reason,
-              std::int64_t retry_after_ms);
+  /// Answers the caller as what is known of the request allows.
+  /// @param retry_after told where the request has not run.
+  void GiveUp(std::string_view reason, kernel::Millis retry_after);
   void Finish(std::string_view outcome);
   std::int64_t Jittered(kernel::Millis span);
   std::int64_t MillisLeft(kernel::TimePoint now) const;
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -32,7 +32,8 @@
     std::shared_ptr<const ICallerProtocol> protocol,
     std::shared_ptr<peers::IPeers> peers,
     std::shared_ptr<membership::IMembership> membership,
-    std::shared_ptr<kernel::Metrics> metrics, std::uint64_t seed)
+    std::shared_ptr<kernel::Metrics> metrics, std::uint64_t seed,
+    kernel::TimePoint now)
     : settings(std::move(settings)),
       runtime(std::move(runtime)),
       protocol(std::move(protocol)),
@@ -43,7 +44,7 @@
            [this](const std::string& endpoint) {
              return this->peers->InFlightElsewhere(endpoint);
            }),
-      retries(this->settings.retries),
+      retries(this->settings.retries, now),
       seeds(seed) {}
 
 void DirectService::OnConfig(const config::ConfigPtr& config) {
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -25,10 +25,6 @@
 /// Loads this close are the same: counts elsewhere are some hundred ms old.
 constexpr double kLoadStep = 0.05;
 
-bool TakesWork(const membership::Instance& instance) {
-  return instance.state == membership::InstanceState::kLive;
-}
-
 }  // namespace
 
 std::string_view AttemptResultName(AttemptResult result) {
@@ -76,6 +72,8 @@
     for (auto& entry : service->endpoints) entry.second.listed = false;
     for (membership::Instance& instance : endpoints) {
       Endpoint& known = service->endpoints[instance.id];
+      const bool moved = known.instance.address != instance.address;
+      if (moved) known.replaced_until = kernel::TimePoint{};
       known.listed = true;
       known.instance = std::move(instance);
     }
@@ -87,6 +85,11 @@
   }
 }
 
+bool EndpointPool::IsUsable(const Endpoint& endpoint, kernel::TimePoint now) {
+  return endpoint.listed && now >= endpoint.replaced_until &&
+         endpoint.instance.state == membership::InstanceState::kLive;
+}
+
 std::int64_t EndpointPool::SlotsOf(const Endpoint& endpoint) const {
   return endpoint.instance.slots > 0 ? endpoint.instance.slots
                                      : this->limits.slots_when_unknown;
@@ -112,8 +115,7 @@
   double best_load = 0;
   bool best_ejected = false;
   for (auto& [id, endpoint] : service.endpoints) {
-    const bool usable = endpoint.listed && TakesWork(endpoint.instance) &&
-                        avoid.count(id) == 0;
+    const bool usable = IsUsable(endpoint, now) && avoid.count(id) == 0;
     const auto load = usable ? this->LoadOf(endpoint, now) : std::nullopt;
     if (!load) continue;
     // Ejected endpoints are the last resort: all of them failing at once says
@@ -153,14 +155,14 @@
   return this->Best(*found, {}, now) != nullptr;
 }
 
-bool EndpointPool::HasEndpoints(const std::string& service) {
+bool EndpointPool::HasEndpoints(const std::string& service,
+                                kernel::TimePoint now) {
   const auto found = this->Find(service);
   if (!found) return false;
   const std::lock_guard<std::mutex> lock(found->mutex);
   return std::any_of(found->endpoints.begin(), found->endpoints.end(),
-                     [](const auto& entry) {
-                       return entry.second.listed &&
-                              TakesWork(entry.second.instance);
+                     [now](const auto& entry) {
+                       return IsUsable(entry.second, now);
                      });
 }
 
@@ -197,7 +199,28 @@
   if (result == AttemptResult::kFull)
     endpoint.full_until = now + this->limits.full_pause;
   if (result == AttemptResult::kReplaced)
-    endpoint.ejected_until = now + this->limits.longest_ejection;
+    endpoint.replaced_until = now + this->limits.replaced_pause;
+}
+
+void EndpointPool::OnProgress(const EndpointChoice& choice,
+                              kernel::TimePoint now) {
+  const auto found = this->Find(choice.service);
+  if (!found) return;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  const auto known = found->endpoints.find(choice.id);
+  if (known != found->endpoints.end()) known->second.progressed_at = now;
+}
+
+bool EndpointPool::OthersProgress(const EndpointChoice& choice,
+                                  kernel::TimePoint since) {
+  const auto found = this->Find(choice.service);
+  if (!found) return false;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  return std::any_of(found->endpoints.begin(), found->endpoints.end(),
+                     [&choice, since](const auto& entry) {
+                       return entry.first != choice.id &&
+                              entry.second.progressed_at >= since;
+                     });
 }
 
 std::vector<std::pair<std::string, std::int64_t>> EndpointPool::InFlight() {
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -51,6 +51,9 @@
   kernel::Millis full_pause{200};       ///< No work after a refusal.
   kernel::Millis first_ejection{500};   ///< No work after a failure.
   kernel::Millis longest_ejection{4'000};
+  /// An endpoint whose address another one had is tried again after this, if
+  /// the list still names it.
+  kernel::Millis replaced_pause{10'000};
   /// Failures in a row after which an endpoint is left alone for a while.
   int failures_to_eject = 2;
 };
@@ -78,7 +81,14 @@
   bool HasRoom(const std::string& service, kernel::TimePoint now);
 
   /// Returns whether `service` has any endpoint that takes work.
-  bool HasEndpoints(const std::string& service);
+  bool HasEndpoints(const std::string& service, kernel::TimePoint now);
+
+  /// Notes that an endpoint answers.
+  void OnProgress(const EndpointChoice& choice, kernel::TimePoint now);
+
+  /// Returns whether any other endpoint of the service has answered since
+  /// `since`.
+  bool OthersProgress(const EndpointChoice& choice, kernel::TimePoint since);
 
   /// Ends a request that Choose counted.
   void Release(const EndpointChoice& choice, AttemptResult result,
@@ -94,11 +104,14 @@
   struct Endpoint {
     membership::Instance instance;
     bool listed = false;  ///< In the newest list.
+    kernel::TimePoint progressed_at;
     std::int64_t in_flight = 0;
     double failing = 0;  ///< Moving share of failures.
     int failures_in_a_row = 0;
     kernel::TimePoint full_until;
     kernel::TimePoint ejected_until;
+    /// Another endpoint has its address, and the list does not say so yet.
+    kernel::TimePoint replaced_until;
   };
   struct Service {
     std::mutex mutex;
@@ -108,6 +121,7 @@
 
   std::shared_ptr<Service> Find(const std::string& service);
   std::shared_ptr<Service> FindOrAdd(const std::string& service);
+  static bool IsUsable(const Endpoint& endpoint, kernel::TimePoint now);
   std::int64_t SlotsOf(const Endpoint& endpoint) const;
   /// Returns the load as a part of the slots, or nothing when it has no room.
   std::optional<double> LoadOf(const Endpoint& endpoint,
--- a/src/direct/internal/retry_allowance.cc
+++ b/src/direct/internal/retry_allowance.cc
@@ -24,8 +24,12 @@
   Window& window = this->services[service];
   this->Trim(window.requests, now);
   this->Trim(window.retries, now);
+  const double age = std::chrono::duration<double>(now - this->started).count();
+  const double span =
+      std::chrono::duration<double>(this->limits.window).count();
   const double share = static_cast<double>(this->limits.slack) /
-                       static_cast<double>(std::max<std::size_t>(1, gateways));
+                       static_cast<double>(std::max<std::size_t>(1, gateways)) *
+                       std::clamp(age / span, 0.0, 1.0);
   const double bound =
       this->limits.used_part *
       (this->limits.ratio * static_cast<double>(window.requests.size()) +
--- a/src/direct/internal/retry_allowance.h
+++ b/src/direct/internal/retry_allowance.h
@@ -23,7 +23,10 @@
 /// Allows sendings beyond the first of each request, by service.
 class RetryAllowance {
  public:
-  explicit RetryAllowance(const RetryLimits& limits) : limits(limits) {}
+  /// @param started when this process began: an earlier life of it may have
+  /// used the slack, which therefore comes back over one window.
+  RetryAllowance(const RetryLimits& limits, kernel::TimePoint started)
+      : limits(limits), started(started) {}
 
   /// Counts a request for `service`.
   void OnRequest(const std::string& service, kernel::TimePoint now);
@@ -43,6 +46,7 @@
   void Trim(std::deque<kernel::TimePoint>& times, kernel::TimePoint now) const;
 
   RetryLimits limits;
+  kernel::TimePoint started;
   std::mutex mutex;
   std::unordered_map<std::string, Window> services;
 };
--- a/src/experts/internal/group_lead.cc
+++ b/src/experts/internal/group_lead.cc
@@ -110,6 +110,11 @@
   return highest;
 }
 
+std::uint64_t GroupLead::NextVersion() {
+  // Above what another lead may have given out unseen.
+  return this->HighestVersion() + kChance + this->Random(kChance);
+}
+
 bool GroupLead::IsUnfinished() const {
   return this->Any([](const RankStatus& status) {
     return status.armed_version != 0 || status.held_step != 0;
@@ -198,7 +203,7 @@
       this->GiveUp("nothing left to finish", now);
       return;
     }
-    this->version = this->HighestVersion() + 1 + this->Random(kChance);
+    this->version = this->NextVersion();
     this->Enter(Stage::kPreparing, now);
     return;
   }
@@ -261,6 +266,10 @@
             return status.prepared_version == this->version;
           })) {
         this->ChooseStep(own_rank, now);
+      } else if (this->TookLonger(this->limits.refused, now) &&
+                 this->IsRefused(this->version)) {
+        this->version = this->NextVersion();
+        this->Enter(Stage::kPreparing, now);
       } else if (this->TookLonger(this->limits.prepare, now)) {
         this->GiveUp("weights were not copied in time", now);
       }
@@ -302,6 +311,7 @@
       }
       return;
     case Stage::kFencing:
+      this->RenewAbandon(now);
       if (this->All([this](const RankStatus& status) {
             return status.held_step == 0 || this->IsAbandoned(status);
           })) {
@@ -309,6 +319,7 @@
       }
       return;
     case Stage::kAbandoning:
+      this->RenewAbandon(now);
       if (this->All([this](const RankStatus& status) {
             return this->IsAbandoned(status);
           })) {
@@ -320,7 +331,7 @@
 }
 
 void GroupLead::Abandon(std::string_view reason, kernel::TimePoint now) {
-  this->abandon_version = this->HighestVersion() + 1 + this->Random(kChance);
+  this->abandon_version = this->NextVersion();
   this->reports.emplace_back(
       EventId::kMapAbandoned,
       kernel::EventFields{{"group", this->group},
@@ -330,6 +341,21 @@
   this->Enter(Stage::kFencing, now);
 }
 
+bool GroupLead::IsRefused(std::uint64_t refused) const {
+  return this->Any([refused](const RankStatus& status) {
+    return status.refused_version == refused &&
+           status.prepared_version != refused;
+  });
+}
+
+void GroupLead::RenewAbandon(kernel::TimePoint now) {
+  const bool must_renew = this->TookLonger(this->limits.refused, now) &&
+                          this->IsRefused(this->abandon_version);
+  if (!must_renew) return;
+  this->abandon_version = this->NextVersion();
+  this->Enter(Stage::kFencing, now);
+}
+
 bool GroupLead::IsAbandoned(const RankStatus& status) const {
   return status.armed_version == 0 &&
          status.prepared_version == this->abandon_version;
--- a/src/experts/internal/group_lead.h
+++ b/src/experts/internal/group_lead.h
@@ -24,6 +24,8 @@
   /// the attempt up.
   kernel::Millis follow{1'000};
   kernel::Millis prepare{5'000};
+  /// A rank that refuses a version for this long has had a higher one.
+  kernel::Millis refused{400};
   kernel::Millis hold{800};
   kernel::Millis arm{1'500};
   /// Time between the choice of the step and its beginning: arming takes a few
@@ -106,6 +108,7 @@
   bool Any(Predicate predicate) const;
   std::optional<ExpertMap> CurrentMap() const;
   std::uint64_t HighestVersion() const;
+  std::uint64_t NextVersion();
   bool IsUnfinished() const;
 
   void Watch(kernel::TimePoint now);
@@ -125,6 +128,9 @@
                                  std::uint64_t own_rank) const;
   std::uint64_t Random(std::uint64_t below);
 
+  bool IsRefused(std::uint64_t refused) const;
+  /// Takes a higher version for the undoing when ranks refuse the present one.
+  void RenewAbandon(kernel::TimePoint now);
   bool IsAbandoned(const link::RankStatus& status) const;
   bool IsOutranked() const;
 
--- a/src/experts/internal/rank_agent.cc
+++ b/src/experts/internal/rank_agent.cc
@@ -120,6 +120,8 @@
   const bool accepted = outcome == OrderOutcome::kDone ||
                         outcome == OrderOutcome::kRefused;
   if (accepted && this->ordered_version != 0) {
+    this->refused_version =
+        outcome == OrderOutcome::kRefused ? this->ordered_version : 0;
     this->preparing = this->ordered_version;
     this->ask_again_at = now + (outcome == OrderOutcome::kDone
                                     ? this->limits.copy
@@ -156,6 +158,7 @@
   status.held_step = is.held.value_or(0);
   status.fence = this->LeaseEnded(now) ? 0 : this->command->fence;
   status.highest_fence = this->highest_fence;
+  status.refused_version = this->refused_version;
   const bool known = this->experts && this->experts->epoch == is.epoch &&
                      this->experts->version == is.map_version;
   if (known) status.experts = FlattenExperts(this->experts->experts);
--- a/src/experts/internal/rank_agent.h
+++ b/src/experts/internal/rank_agent.h
@@ -75,6 +75,7 @@
   std::optional<kernel::TimePoint> order_sent;  ///< Of the order under way.
   std::uint64_t preparing = 0;  ///< Version whose copying was asked for.
   kernel::TimePoint ask_again_at;
+  std::uint64_t refused_version = 0;  ///< Whose copying was refused last.
   std::uint64_t ordered_version = 0;  ///< Of the PrepareOrder under way.
 };
 
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -342,6 +342,7 @@
   std::uint64_t held_step = 0;  ///< 0: none.
   std::uint64_t fence = 0;      ///< Of the lead that it obeys.
   std::uint64_t highest_fence = 0;  ///< That it has met.
+  std::uint64_t refused_version = 0;  ///< That it could not prepare.
   /// Experts in use: for each layer their number, then each of them.
   std::vector<std::uint64_t> experts;
 
@@ -350,7 +351,7 @@
     visit(this->group, this->epoch, this->rank, this->size, this->open,
           this->step, this->map_version, this->prepared_version,
           this->armed_version, this->armed_step, this->held_step, this->fence,
-          this->highest_fence, this->experts);
+          this->highest_fence, this->refused_version, this->experts);
   }
 };
 
