--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -95,7 +95,7 @@
 
 void DirectFlow::Wait(kernel::TimePoint now) {
   const std::string& service = this->request.service;
-  if (!this->context.pool.HasEndpoints(service, now)) {
+  if (!this->context.pool.HasEndpoints(service, this->tried, now)) {
     this->GiveUp("no_endpoint", this->context.limits.retry_after);
     return;
   }
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -156,13 +156,15 @@
 }
 
 bool EndpointPool::HasEndpoints(const std::string& service,
+                                const std::set<std::string>& avoid,
                                 kernel::TimePoint now) {
   const auto found = this->Find(service);
   if (!found) return false;
   const std::lock_guard<std::mutex> lock(found->mutex);
   return std::any_of(found->endpoints.begin(), found->endpoints.end(),
-                     [now](const auto& entry) {
-                       return IsUsable(entry.second, now);
+                     [&avoid, now](const auto& entry) {
+                       return avoid.count(entry.first) == 0 &&
+                              IsUsable(entry.second, now);
                      });
 }
 
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -80,8 +80,10 @@
   /// Returns whether Choose would find an endpoint.
   bool HasRoom(const std::string& service, kernel::TimePoint now);
 
-  /// Returns whether `service` has any endpoint that takes work.
-  bool HasEndpoints(const std::string& service, kernel::TimePoint now);
+  /// Returns whether `service` has any endpoint besides those in `avoid` that
+  /// takes work, if not now.
+  bool HasEndpoints(const std::string& service,
+                    const std::set<std::string>& avoid, kernel::TimePoint now);
 
   /// Notes that an endpoint answers.
   void OnProgress(const EndpointChoice& choice, kernel::TimePoint now);
--- a/src/direct/tests/direct_flow_test.cc
+++ b/src/direct/tests/direct_flow_test.cc
@@ -293,11 +293,11 @@
   pool.OnInstances(ListOf(1));
   const auto choice = pool.Choose("model", {}, kStart);
   pool.Release(*choice, AttemptResult::kReplaced, kStart);
-  cr_assert_not(pool.HasEndpoints("model", kStart + Millis(5'000)));
+  cr_assert_not(pool.HasEndpoints("model", {}, kStart + Millis(5'000)));
   auto moved = ListOf(1);
   moved.instances[0].address = "10.0.0.9:9";
   pool.OnInstances(moved);
-  cr_assert(pool.HasEndpoints("model", kStart));
+  cr_assert(pool.HasEndpoints("model", {}, kStart));
 }
 
 Test(endpoint_pool, gives_no_work_to_a_leaving_endpoint) {
