Let a lead whose fence is refused raise it and go on

Excluded: the time of day as a fence, since it jumps on these machines. Change: an agent whose order was refused tells of a fence twice as high, and the lead takes one above it wherever it stands. Test: the real agents and leads on simulated engines, with orders that come 2 to 12 s late, kills, freezes and two leads; one map in every pass, and the group goes on afterwards.

--- a/src/experts/internal/group_lead.cc
+++ b/src/experts/internal/group_lead.cc
@@ -187,13 +187,18 @@
   this->BeginAttempt(now);
 }
 
-void GroupLead::BeginAttempt(kernel::TimePoint now) {
+void GroupLead::RaiseFence() {
   constexpr std::uint64_t kFencesPerAttempt = 2;
   this->fence = (this->highest_fence / kFencesPerAttempt + 1 +
                  this->Random(kChance)) *
                 kFencesPerAttempt;
   this->highest_fence = this->fence;
   this->number = 0;
+  this->must_send = true;
+}
+
+void GroupLead::BeginAttempt(kernel::TimePoint now) {
+  this->RaiseFence();
   this->Enter(Stage::kFollowing, now);
 }
 
@@ -430,6 +435,10 @@
     this->GiveUp("ranks follow another lead", now);
     this->next_plan = now + this->limits.step_down;
   }
+  // An engine has refused this fence for a higher one that it has met.
+  const bool is_fenced = this->stage != Stage::kWatching &&
+                         this->highest_fence > this->fence;
+  if (is_fenced) this->RaiseFence();
   this->Advance(own_rank, now);
   std::vector<Send> sends;
   if (this->stage == Stage::kWatching) return sends;
--- a/src/experts/internal/group_lead.h
+++ b/src/experts/internal/group_lead.h
@@ -121,6 +121,7 @@
   void Abandon(std::string_view reason, kernel::TimePoint now);
   void GiveUp(std::string_view reason, kernel::TimePoint now);
   void Enter(Stage next, kernel::TimePoint now);
+  void RaiseFence();
   bool TookLonger(kernel::Millis bound, kernel::TimePoint now) const;
   void MeasureSteps(kernel::TimePoint now);
 
--- a/src/experts/internal/rank_agent.cc
+++ b/src/experts/internal/rank_agent.cc
@@ -127,10 +127,13 @@
                                     ? this->limits.copy
                                     : this->limits.refused);
   }
-  // A fence that this process has not met: the next lead must go above it.
+  if (outcome != OrderOutcome::kFenced || !this->command) return;
+  // The engine has met a fence that this process has not. It does not say
+  // which, so the lead tries one twice as high.
   constexpr std::uint64_t kFenceStep = std::uint64_t{1} << 20U;
-  if (outcome == OrderOutcome::kFenced)
-    this->highest_fence += kFenceStep;
+  this->highest_fence =
+      std::max(this->highest_fence,
+               this->command->fence + std::max(this->command->fence, kFenceStep));
 }
 
 bool RankAgent::IsBusy(kernel::TimePoint now) const {
