--- a/src/app/tests/docs_test.cc
+++ b/src/app/tests/docs_test.cc
@@ -41,12 +41,13 @@
 
 Test(docs, settings_page_holds_every_setting_and_no_other) {
   const std::string text = ReadDoc("SETTINGS.md");
-  const std::size_t agent = text.find("## agent");
-  const std::pair<kernel::Role, std::string> parts[] = {
-      {kernel::Role::kEntry, text.substr(0, agent)},
-      {kernel::Role::kAgent, text.substr(agent)}};
-  for (const auto& [role, part] : parts) {
-    const auto schema = kernel::ModuleRegistry::Instance().SchemaOf(role);
+  for (const std::string name : {"entry", "agent", "gateway", "rank"}) {
+    const std::size_t start = text.find("## " + name + "\n");
+    cr_assert_neq(start, std::string::npos, "%s", name.c_str());
+    const std::string part =
+        text.substr(start, text.find("\n## ", start) - start);
+    const auto schema = kernel::ModuleRegistry::Instance().SchemaOf(
+        *kernel::ParseRole(name));
     for (const kernel::SettingField& field : schema) {
       const std::string line = "| [" + field.section + "] " + field.key +
                                " | " +
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -62,6 +62,10 @@
   /// Whether an orderly close ends an answer that has no length. A reset never
   /// does.
   bool end_by_close = false;
+  /// Whether the call may use a connection that another one has left open, and
+  /// leave its own. Only for what may be sent twice: on a connection that turns
+  /// out to be closed, the request is sent again on a new one.
+  bool reuse_connection = false;
 };
 
 /// Runs servers and calls on a pool of threads.
@@ -74,7 +78,8 @@
       const std::string& address, std::shared_ptr<IHttpHandler> handler,
       const ServerLimits& limits) = 0;
 
-  /// Sends `request` to `address` on a connection of its own.
+  /// Sends `request` to `address`, on a connection of its own unless `limits`
+  /// say otherwise.
   virtual std::shared_ptr<IHttpCall> Call(
       const std::string& address, HttpRequest request, const CallLimits& limits,
       std::shared_ptr<IHttpCallObserver> observer) = 0;
--- /dev/null
+++ b/src/http/internal/connection_cache.cc
@@ -0,0 +1,40 @@
+#include "http/internal/connection_cache.h"
+
+#include <algorithm>
+
+namespace banyanlane::http {
+namespace {
+
+/// Connections idle for longer are not used any more: servers close them after
+/// a few seconds.
+constexpr kernel::Millis kLongestIdle{2'000};
+constexpr std::size_t kMostPerAddress = 4;
+
+}  // namespace
+
+HttpConnectionPtr ConnectionCache::Take(const std::string& address,
+                                        kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->idle.find(address);
+  if (found == this->idle.end()) return nullptr;
+  auto& connections = found->second;
+  connections.erase(std::remove_if(connections.begin(), connections.end(),
+                                   [now](const Idle& entry) {
+                                     return now - entry.since > kLongestIdle;
+                                   }),
+                    connections.end());
+  if (connections.empty()) return nullptr;
+  HttpConnectionPtr taken = std::move(connections.back().connection);
+  connections.pop_back();
+  return taken;
+}
+
+void ConnectionCache::Put(const std::string& address,
+                          HttpConnectionPtr connection, kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  auto& connections = this->idle[address];
+  if (connections.size() < kMostPerAddress)
+    connections.push_back({std::move(connection), now});
+}
+
+}  // namespace banyanlane::http
--- a/src/http/internal/http_call.cc
+++ b/src/http/internal/http_call.cc
@@ -20,16 +20,24 @@
 
 }  // namespace
 
-HttpCall::HttpCall(asio::io_context& io, std::string address,
-                   HttpRequest request, const CallLimits& limits,
+HttpCall::HttpCall(asio::io_context& io, std::shared_ptr<ConnectionCache> cache,
+                   std::string address, HttpRequest request,
+                   const CallLimits& limits,
                    std::shared_ptr<IHttpCallObserver> observer)
-    : strand(asio::make_strand(io.get_executor())),
-      stream(this->strand),
+    : cache(limits.reuse_connection ? std::move(cache) : nullptr),
+      connection(this->cache ? this->cache->Take(address, kernel::Clock::now())
+                             : nullptr),
+      is_reused(this->connection != nullptr),
+      strand(this->is_reused ? this->connection->strand
+                             : asio::make_strand(io.get_executor())),
       pause_timer(this->strand),
       address(std::move(address)),
       request(std::move(request)),
       limits(limits),
-      observer(std::move(observer)) {}
+      observer(std::move(observer)) {
+  if (!this->is_reused)
+    this->connection = std::make_shared<HttpConnection>(this->strand);
+}
 
 void HttpCall::Start() {
   // Posted, since spawn may run its first part inside the caller, which can
@@ -43,7 +51,7 @@
 void HttpCall::Abort() {
   asio::post(this->strand, [self = this->shared_from_this()] {
     self->aborted = true;
-    self->stream.close();
+    self->connection->stream.close();
     self->pause_timer.cancel();
   });
 }
@@ -61,6 +69,13 @@
 }
 
 void HttpCall::Run(asio::yield_context yield) {
+  {
+    Parser parser;
+    if (this->TryIdleConnection(parser, yield)) {
+      this->ReadBody(parser, yield);
+      return;
+    }
+  }
   if (!this->Connect(yield)) return;
   if (!this->SendRequest(yield)) return;
   Parser parser;
@@ -69,6 +84,26 @@
   this->ReadBody(parser, yield);
 }
 
+bool HttpCall::TryIdleConnection(Parser& parser, asio::yield_context yield) {
+  if (!this->is_reused || this->aborted) return false;
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  beast::error_code failure = this->WriteRequest(yield);
+  if (!failure) {
+    beast::http::async_read_header(this->connection->stream,
+                                   this->connection->buffer, parser,
+                                   yield[failure]);
+  }
+  if (failure) {
+    // The server may have closed it meanwhile: a new one will tell.
+    this->connection->stream.close();
+    this->connection = std::make_shared<HttpConnection>(this->strand);
+    return false;
+  }
+  this->observer->OnHead(static_cast<int>(parser.get().result_int()),
+                         CopyFields(parser.get()));
+  return true;
+}
+
 bool HttpCall::Connect(asio::yield_context yield) {
   const auto resolved = ResolveAddress(this->address);
   if (const kernel::Error* error = kernel::ErrorOf(resolved)) {
@@ -79,19 +114,19 @@
   if (this->aborted) {
     failure = asio::error::operation_aborted;
   } else {
-    this->stream.expires_after(this->limits.connect_timeout);
-    this->stream.async_connect(std::get<0>(resolved), yield[failure]);
+    this->connection->stream.expires_after(this->limits.connect_timeout);
+    this->connection->stream.async_connect(std::get<0>(resolved), yield[failure]);
   }
   if (!failure && this->aborted) failure = asio::error::operation_aborted;
   if (failure) {
     this->Fail("connect", failure, SendState::kNotSent);
     return false;
   }
-  SetTransportTimeouts(this->stream.socket().native_handle());
+  SetTransportTimeouts(this->connection->stream.socket().native_handle());
   return true;
 }
 
-bool HttpCall::SendRequest(asio::yield_context yield) {
+beast::error_code HttpCall::WriteRequest(asio::yield_context yield) {
   beast::http::request<beast::http::string_body> message;
   message.version(kHttpVersion);
   message.method_string(this->request.method);
@@ -102,12 +137,17 @@
   for (const auto& [name, value] : this->request.headers) {
     if (!IsHopField(name) && name != "host") message.insert(name, value);
   }
-  message.keep_alive(false);
-  message.body() = std::move(this->request.body);
+  message.keep_alive(this->limits.reuse_connection);
+  message.body() = this->request.body;
   message.prepare_payload();
   beast::error_code failure;
-  this->stream.expires_after(this->limits.head_timeout);
-  beast::http::async_write(this->stream, message, yield[failure]);
+  this->connection->stream.expires_after(this->limits.head_timeout);
+  beast::http::async_write(this->connection->stream, message, yield[failure]);
+  return failure;
+}
+
+bool HttpCall::SendRequest(asio::yield_context yield) {
+  const beast::error_code failure = this->WriteRequest(yield);
   if (!failure) return true;
   this->Fail("send", failure, SendState::kMaybeSent);
   return false;
@@ -115,7 +155,7 @@
 
 bool HttpCall::ReadHead(Parser& parser, asio::yield_context yield) {
   beast::error_code failure;
-  beast::http::async_read_header(this->stream, this->buffer, parser,
+  beast::http::async_read_header(this->connection->stream, this->connection->buffer, parser,
                                  yield[failure]);
   if (failure) {
     this->Fail("read_head", failure, SendState::kMaybeSent);
@@ -134,8 +174,8 @@
     parser.get().body().data = part.data();
     parser.get().body().size = part.size();
     beast::error_code failure;
-    this->stream.expires_after(this->limits.silence_timeout);
-    beast::http::async_read_some(this->stream, this->buffer, parser,
+    this->connection->stream.expires_after(this->limits.silence_timeout);
+    beast::http::async_read_some(this->connection->stream, this->connection->buffer, parser,
                                  yield[failure]);
     if (failure == beast::http::error::need_buffer) failure = {};
     const std::size_t count = part.size() - parser.get().body().size;
@@ -153,6 +193,10 @@
                SendState::kMaybeSent);
     return;
   }
+  const bool can_go_on = this->cache && length_known && parser.keep_alive() &&
+                         this->connection->buffer.size() == 0;
+  if (can_go_on)
+    this->cache->Put(this->address, this->connection, kernel::Clock::now());
   this->observer->OnEnd();
 }
 
@@ -166,7 +210,7 @@
 
 void HttpCall::Fail(std::string_view step, const beast::error_code& failure,
                     SendState state) {
-  this->stream.close();
+  this->connection->stream.close();
   this->observer->OnFailed(kernel::Error{CodeOf(failure), std::string(step),
                                          this->address, failure.message()},
                            state);
--- a/src/http/internal/http_runtime.cc
+++ b/src/http/internal/http_runtime.cc
@@ -56,7 +56,8 @@
       const std::string& address, HttpRequest request, const CallLimits& limits,
       std::shared_ptr<IHttpCallObserver> observer) override {
     auto call = std::make_shared<HttpCall>(
-        this->io, address, std::move(request), limits, std::move(observer));
+        this->io, this->cache, address, std::move(request), limits,
+        std::move(observer));
     call->Start();
     return call;
   }
@@ -81,6 +82,7 @@
 
  private:
   asio::io_context io;
+  std::shared_ptr<ConnectionCache> cache = std::make_shared<ConnectionCache>();
   asio::executor_work_guard<asio::io_context::executor_type> work{
       io.get_executor()};
   std::vector<std::thread> pool;
@@ -118,7 +120,8 @@
   asio::io_context io;
   auto observer = std::make_shared<FetchObserver>();
   const CallLimits limits{timeout, timeout, timeout};
-  std::make_shared<HttpCall>(io, address, request, limits, observer)->Start();
+  std::make_shared<HttpCall>(io, nullptr, address, request, limits, observer)
+      ->Start();
   const kernel::TimePoint end = kernel::Clock::now() + timeout;
   while (!observer->result && kernel::Clock::now() < end) {
     if (cancelled != nullptr && *cancelled) break;
