Try: fill endpoints by the pauses of their streams, and let late ones wait behind

Tried: the part of its slots that an endpoint is given falls when pauses come near the goal; waiting requests that can still be in time go first.

--- /dev/null
+++ b/src/catalog/tests/catalog_follower_test.cc
@@ -0,0 +1,126 @@
+#include "catalog/internal/catalog_follower.h"
+
+#include <criterion/criterion.h>
+
+namespace banyanlane::catalog {
+namespace {
+
+using kernel::Millis;
+using kernel::TimePoint;
+
+constexpr TimePoint kStart = TimePoint{} + std::chrono::hours(1);
+
+CatalogPage PageOf(std::uint64_t revision, std::vector<CatalogItem> items,
+                   bool more = false) {
+  return {std::move(items), revision, more};
+}
+
+CatalogItem Item(const std::string& key, const std::string& value,
+                 std::uint64_t revision) {
+  return {key, value, revision, false};
+}
+
+CatalogItem Removal(const std::string& key, std::uint64_t revision) {
+  return {key, "", revision, true};
+}
+
+kernel::Error Failure() {
+  return {kernel::ErrorCode::kUnreachable, "test", "", ""};
+}
+
+std::string TextOf(const CatalogFollower& follower) {
+  std::string text;
+  for (const CatalogItem& item : follower.Snapshot().items)
+    text += item.key + "=" + item.value + " ";
+  return text;
+}
+
+CatalogFollower Loaded() {
+  CatalogFollower follower(CatalogLimits{}, 1);
+  follower.OnAnswer(PageOf(10, {Item("a", "1", 3), Item("b", "1", 4)}), kStart);
+  return follower;
+}
+
+}  // namespace
+
+Test(catalog_follower, reads_all_pages_and_then_watches) {
+  CatalogFollower follower(CatalogLimits{}, 1);
+  cr_assert(std::holds_alternative<ReadPageStep>(follower.Next(kStart)));
+  follower.OnAnswer(PageOf(10, {Item("a", "1", 3)}, true), kStart);
+  cr_assert_not(follower.IsLoaded());
+  cr_assert_eq(std::get<ReadPageStep>(follower.Next(kStart)).after_key, "a");
+  cr_assert(follower.OnAnswer(PageOf(12, {Item("b", "1", 11)}), kStart));
+  cr_assert(follower.IsLoaded());
+  // Changes between the two pages are seen again.
+  cr_assert_eq(std::get<WatchStep>(follower.Next(kStart)).after_revision, 10);
+  cr_assert_not(follower.OnAnswer(PageOf(12, {Item("b", "1", 11)}), kStart));
+  cr_assert_eq(TextOf(follower), "a=1 b=1 ");
+}
+
+Test(catalog_follower, takes_changes_and_never_an_older_value) {
+  CatalogFollower follower = Loaded();
+  cr_assert(follower.OnAnswer(
+      PageOf(12, {Item("a", "2", 11), Removal("b", 12)}), kStart));
+  cr_assert_eq(TextOf(follower), "a=2 ");
+  cr_assert_not(follower.OnAnswer(PageOf(13, {Item("a", "1", 3)}), kStart));
+  cr_assert_eq(TextOf(follower), "a=2 ");
+  const auto version = follower.Snapshot().version;
+  cr_assert_not(follower.OnAnswer(PageOf(9, {Item("a", "0", 99)}), kStart),
+                "a revision that goes back");
+  cr_assert_eq(TextOf(follower), "a=2 ");
+  cr_assert_eq(follower.Snapshot().version, version);
+}
+
+Test(catalog_follower, reads_anew_when_history_is_gone) {
+  CatalogFollower follower = Loaded();
+  follower.OnAnswer(HistoryGone{}, kStart);
+  cr_assert(std::holds_alternative<ReadPageStep>(follower.Next(kStart)));
+  cr_assert(follower.OnAnswer(PageOf(30, {Item("b", "2", 29)}), kStart));
+  cr_assert_eq(TextOf(follower), "b=2 ", "what left in the gap is gone");
+}
+
+Test(catalog_follower, pauses_longer_after_each_failure) {
+  CatalogFollower follower(CatalogLimits{}, 1);
+  TimePoint now = kStart;
+  kernel::Clock::duration longest{};
+  for (int i = 0; i < 12; ++i) {
+    follower.OnAnswer(Failure(), now);
+    const auto until = std::get<PauseStep>(follower.Next(now)).until;
+    longest = std::max(longest, until - now);
+    cr_assert_leq((until - now).count(),
+                  kernel::Clock::duration(CatalogLimits{}.longest_pause).count());
+    now = until;
+  }
+  cr_assert_geq(longest.count(),
+                kernel::Clock::duration(CatalogLimits{}.longest_pause).count() /
+                    2);
+}
+
+Test(catalog_follower, keeps_lapsed_items_for_a_while_after_an_outage) {
+  CatalogFollower follower = Loaded();
+  const TimePoint back = kStart + Millis(10'000);
+  follower.OnAnswer(Failure(), back - Millis(1'000));
+  follower.OnAnswer(
+      PageOf(20, {Removal("a", 18), Removal("b", 19)}), back);
+  cr_assert_eq(TextOf(follower), "a=1 b=1 ");
+  cr_assert(follower.OnAnswer(PageOf(21, {Item("a", "1", 21)}), back));
+  const auto before = follower.Snapshot().version;
+  const TimePoint settled = back + CatalogLimits{}.settle;
+  cr_assert(follower.DropSettled(settled));
+  cr_assert_eq(TextOf(follower), "a=1 ");
+  cr_assert_gt(follower.Snapshot().version, before);
+  // The next change of the store must still count as newer.
+  const auto dropped = follower.Snapshot().version;
+  follower.OnAnswer(PageOf(22, {Item("c", "1", 22)}), settled);
+  cr_assert_gt(follower.Snapshot().version, dropped);
+}
+
+Test(catalog_follower, drops_removed_items_at_once_without_an_outage) {
+  CatalogFollower follower = Loaded();
+  follower.OnAnswer(Failure(), kStart + Millis(100));
+  cr_assert(follower.OnAnswer(PageOf(20, {Removal("a", 18)}),
+                              kStart + Millis(300)));
+  cr_assert_eq(TextOf(follower), "b=1 ");
+}
+
+}  // namespace banyanlane::catalog
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -71,6 +71,7 @@
   this->head = AnswerHead{};
   this->body.clear();
   this->splitter = EventSplitter{};
+  this->event_at = kernel::TimePoint{};
   const std::int64_t left = this->MillisLeft(now);
   const bool another = this->request.IsRepeatable() &&
                        this->sent < this->request.profile->attempts;
@@ -99,13 +100,7 @@
     this->GiveUp("no_endpoint", this->context.limits.retry_after);
     return;
   }
-  const auto part = kernel::Millis(static_cast<std::int64_t>(
-      static_cast<double>(this->MillisLeft(now)) *
-      this->context.limits.longest_wait_part));
-  const auto longest =
-      this->request.profile->streaming
-          ? std::min(part, this->context.limits.longest_stream_wait)
-          : part;
+  const kernel::Millis longest = this->LongestWait(now);
   const auto expected =
       this->context.line.ExpectedWait(service, this->request.urgency, now);
   if (expected && *expected > longest) {
@@ -115,7 +110,25 @@
   }
   this->state = State::kWaiting;
   this->wait_until = now + longest;
-  this->ticket = this->context.line.Join(service, this->request.urgency);
+  this->ticket = this->context.line.Join(service, this->request.urgency,
+                                         this->InTimeUntil());
+}
+
+kernel::Millis DirectFlow::LongestWait(kernel::TimePoint now) const {
+  const DirectLimits& limits = this->context.limits;
+  const auto part = kernel::Millis(
+      static_cast<std::int64_t>(static_cast<double>(this->MillisLeft(now)) *
+                                limits.longest_wait_part));
+  return this->request.profile->streaming
+             ? std::min(part, limits.longest_stream_wait)
+             : part;
+}
+
+kernel::TimePoint DirectFlow::InTimeUntil() const {
+  const auto wait = static_cast<std::int64_t>(
+      static_cast<double>(this->request.profile->goal_ms) *
+      this->context.limits.in_time_part);
+  return this->arrived + kernel::Millis(wait);
 }
 
 void DirectFlow::EndWait(kernel::TimePoint /*now*/) {
@@ -184,6 +197,12 @@
     continues = continues && this->TakeEvent(event, text);
   }
   this->context.pool.OnProgress(*this->endpoint, now);
+  if (this->event_at != kernel::TimePoint{}) {
+    this->context.governor.OnPause(
+        this->request.service, kernel::MillisBetween(this->event_at, now),
+        this->request.profile->pause_goal_ms, now);
+  }
+  this->event_at = now;
   if (this->attempt_until != this->answer_by)
     this->attempt_until = now + this->context.limits.silence;
   if (!text.empty()) {
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -10,6 +10,7 @@
 #include "direct/internal/direct_actions.h"
 #include "direct/internal/direct_work.h"
 #include "direct/internal/event_splitter.h"
+#include "direct/internal/pace_governor.h"
 #include "direct/internal/retry_allowance.h"
 #include "direct/internal/waiting_line.h"
 #include "http/i_http_runtime.h"
@@ -34,6 +35,9 @@
   double longest_wait_part = 0.25;
   /// Longest wait for room of a stream, whose callers leave when it is silent.
   kernel::Millis longest_stream_wait{1'500};
+  /// A request that waits for less than this part of its goal can still be
+  /// answered in time.
+  double in_time_part = 0.5;
   /// Told to callers where nothing better is known.
   kernel::Millis retry_after{300};
   /// Sendings of one request that endpoints refused without running it.
@@ -51,6 +55,7 @@
   EndpointPool& pool;
   RetryAllowance& retries;
   WaitingLine& line;
+  PaceGovernor& governor;
   std::size_t gateways = 1;  ///< That share the retries.
   DirectLimits limits;
 };
@@ -90,6 +95,9 @@
   void SendOrWait(kernel::TimePoint now);
   bool Send(kernel::TimePoint now);
   void Wait(kernel::TimePoint now);
+  kernel::Millis LongestWait(kernel::TimePoint now) const;
+  /// Returns when it must have got room to be answered in time.
+  kernel::TimePoint InTimeUntil() const;
   void EndWait(kernel::TimePoint now);
 
   void TakeEvents(std::string_view data, kernel::TimePoint now);
@@ -123,6 +131,7 @@
   kernel::TimePoint answer_by;  ///< The caller's or the profile's bound.
   kernel::TimePoint wait_until;
   kernel::TimePoint attempt_until;
+  kernel::TimePoint event_at;  ///< Of the last event of this attempt.
   std::uint64_t ticket = 0;  ///< In the waiting line.
 
   std::optional<EndpointChoice> endpoint;  ///< Of the current attempt.
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -40,10 +40,15 @@
       peers(std::move(peers)),
       membership(std::move(membership)),
       metrics(std::move(metrics)),
-      pool(this->settings.failure_domain, PoolLimits{}, seed,
-           [this](const std::string& endpoint) {
-             return this->peers->InFlightElsewhere(endpoint);
-           }),
+      governor(PaceLimits{}),
+      pool(
+          this->settings.failure_domain, PoolLimits{}, seed,
+          [this](const std::string& endpoint) {
+            return this->peers->InFlightElsewhere(endpoint);
+          },
+          [this](const std::string& service) {
+            return this->governor.PartFor(service);
+          }),
       retries(this->settings.retries, now),
       seeds(seed) {}
 
@@ -173,7 +178,10 @@
 void DirectService::Run(http::IHttpExchange& exchange, DirectWork work) {
   const auto begun = kernel::Clock::now();
   const std::uint64_t number = ++this->seeds;
-  const DirectContext context{this->pool, this->retries, this->line,
+  const DirectContext context{this->pool,
+                              this->retries,
+                              this->line,
+                              this->governor,
                               this->peers->Live(begun).size() + 1,
                               this->settings.limits};
   DirectRunner::Environment environment;
@@ -256,12 +264,12 @@
 
 void DirectService::LetIn(const std::string& service, kernel::TimePoint now) {
   while (true) {
-    const auto first = this->line.First(service);
+    const auto first = this->line.First(service, now);
     if (!first || !this->pool.HasRoom(service, now)) return;
     const auto runner = this->waiting.Find(*first);
     if (!runner) return;
     (*runner)->Decide([now](DirectFlow& flow) { return flow.OnRoom(now); });
-    const bool has_moved = this->line.First(service) != first;
+    const bool has_moved = this->line.First(service, now) != first;
     if (!has_moved) return;
   }
 }
--- a/src/direct/internal/waiting_line.cc
+++ b/src/direct/internal/waiting_line.cc
@@ -1,7 +1,6 @@
 #include "direct/internal/waiting_line.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace banyanlane::direct {
 namespace {
@@ -17,7 +16,9 @@
   const std::lock_guard<std::mutex> lock(this->mutex);
   Line& line = this->lines[service];
   const auto behind = line.waiting.upper_bound({urgency, this->last_ticket});
-  const auto ahead = std::distance(line.waiting.begin(), behind);
+  const auto ahead = std::count_if(
+      line.waiting.begin(), behind,
+      [now](const auto& entry) { return entry.second > now; });
   if (ahead == 0) return kernel::Millis{0};
   const bool stale = now - line.counted_at > 2 * kRateSpan;
   if (line.served_per_second <= 0 || stale) return std::nullopt;
@@ -26,10 +27,11 @@
 }
 
 std::uint64_t WaitingLine::Join(const std::string& service,
-                                std::int64_t urgency) {
+                                std::int64_t urgency,
+                                kernel::TimePoint in_time_until) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const std::uint64_t ticket = ++this->last_ticket;
-  this->lines[service].waiting[{urgency, ticket}] = true;
+  this->lines[service].waiting[{urgency, ticket}] = in_time_until;
   return ticket;
 }
 
@@ -54,12 +56,19 @@
   line.counted_at = now;
 }
 
-std::optional<std::uint64_t> WaitingLine::First(const std::string& service) {
+std::optional<std::uint64_t> WaitingLine::First(const std::string& service,
+                                                kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const auto found = this->lines.find(service);
   if (found == this->lines.end() || found->second.waiting.empty())
     return std::nullopt;
-  return found->second.waiting.begin()->first.second;
+  const auto& waiting = found->second.waiting;
+  const std::int64_t urgency = waiting.begin()->first.first;
+  for (const auto& [place, in_time_until] : waiting) {
+    if (place.first != urgency) break;
+    if (in_time_until > now) return place.second;
+  }
+  return waiting.begin()->first.second;
 }
 
 std::vector<std::string> WaitingLine::Services() {
--- a/src/direct/internal/waiting_line.h
+++ b/src/direct/internal/waiting_line.h
@@ -14,7 +14,9 @@
 namespace banyanlane::direct {
 
 /// Requests that wait for room at the endpoints of a service: the most urgent
-/// first, and those alike in the order of their arrival.
+/// first, of those alike the ones that can still be answered in time, and of
+/// these in the order of their arrival. One that is late anyway waits behind,
+/// since it would take the place of one that is not yet.
 class WaitingLine {
  public:
   /// Returns how long a request that joins now would wait, from how fast the
@@ -24,7 +26,9 @@
                                              kernel::TimePoint now);
 
   /// Joins the line. @return the ticket to leave with.
-  std::uint64_t Join(const std::string& service, std::int64_t urgency);
+  /// @param in_time_until when it must have got room to be answered in time.
+  std::uint64_t Join(const std::string& service, std::int64_t urgency,
+                     kernel::TimePoint in_time_until);
 
   /// Leaves the line.
   void Leave(const std::string& service, std::int64_t urgency,
@@ -34,7 +38,8 @@
   void OnServed(const std::string& service, kernel::TimePoint now);
 
   /// Returns the ticket whose turn it is, if any waits.
-  std::optional<std::uint64_t> First(const std::string& service);
+  std::optional<std::uint64_t> First(const std::string& service,
+                                     kernel::TimePoint now);
 
   /// Returns the services that requests wait for.
   std::vector<std::string> Services();
@@ -44,8 +49,8 @@
 
  private:
   struct Line {
-    /// By urgency, then ticket.
-    std::map<std::pair<std::int64_t, std::uint64_t>, bool> waiting;
+    /// By urgency, then ticket; until when they can be in time.
+    std::map<std::pair<std::int64_t, std::uint64_t>, kernel::TimePoint> waiting;
     double served_per_second = 0;
     kernel::TimePoint counted_at;
     std::int64_t served = 0;  ///< Since counted_at.
--- a/src/direct/tests/direct_flow_test.cc
+++ b/src/direct/tests/direct_flow_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <cmath>
 #include <memory>
 
 namespace banyanlane::direct {
@@ -37,6 +38,7 @@
   profile.repeatable = !streaming && repeatable;
   profile.attempts = 2;
   profile.deadline_ms = 8'000;
+  profile.goal_ms = 500;
   return profile;
 }
 
@@ -53,7 +55,8 @@
  public:
   World(bool streaming, bool repeatable, int endpoints = 3,
         RetryLimits retry_limits = {0.2, Millis(10'000), 100, 1.0})
-      : pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; }),
+      : pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+                    [](const std::string&) { return 1.0; }),
         retries(retry_limits, TimePoint{}) {
     this->pool.OnInstances(ListOf(endpoints));
     auto snapshot = std::make_shared<config::ConfigSnapshot>();
@@ -65,7 +68,8 @@
     work.request_id = "r";
     work.deadline_ms = 8'000;
     this->flow = std::make_unique<DirectFlow>(
-        DirectContext{this->pool, this->retries, this->line, 1, DirectLimits{}},
+        DirectContext{this->pool, this->retries, this->line,
+                      this->governor, 1, DirectLimits{}},
         std::move(work), 1);
   }
 
@@ -111,6 +115,7 @@
   EndpointPool pool;
   RetryAllowance retries;
   WaitingLine line;
+  PaceGovernor governor{PaceLimits{}};
   std::unique_ptr<DirectFlow> flow;
   DirectActions actions;
 };
@@ -276,6 +281,48 @@
   cr_assert(world.flow->IsDone());
 }
 
+// The load it answers: more requests than there is room for, so that some are
+// late whatever is done.
+Test(waiting_line, lets_those_in_first_that_can_be_in_time) {
+  WaitingLine line;
+  const auto early = kStart + Millis(100);
+  const auto late = kStart + Millis(300);
+  const auto first = line.Join("s", 1, early);
+  const auto second = line.Join("s", 1, late);
+  const auto urgent = line.Join("s", 0, early);
+  cr_assert_eq(*line.First("s", kStart), urgent);
+  line.Leave("s", 0, urgent);
+  cr_assert_eq(*line.First("s", kStart), first);
+  cr_assert_eq(*line.First("s", early), second);
+  line.Leave("s", 1, second);
+  cr_assert_eq(*line.First("s", early), first, "late, but not forgotten");
+}
+
+// The load it answers: more requests than engines can run at the pace that
+// callers ask for; pauses grow with the requests that run.
+Test(pace_governor, settles_where_pauses_keep_their_goal) {
+  constexpr std::int64_t kGoal = 120;
+  constexpr double kSlots = 12;
+  PaceGovernor governor{PaceLimits{}};
+  cr_assert_eq(governor.PartFor("model"), 1.0);
+  TimePoint now = kStart;
+  int slow = 0;
+  for (int i = 0; i < 2'000; ++i) {
+    const double running = std::ceil(governor.PartFor("model") * kSlots);
+    const auto pause = static_cast<std::int64_t>(20 + 11 * running);
+    now += Millis(20);
+    governor.OnPause("model", pause, kGoal, now);
+    slow += i > 200 && pause > kGoal ? 1 : 0;
+  }
+  cr_assert_eq(slow, 0, "%d pauses over the goal", slow);
+  cr_assert_gt(governor.PartFor("model"), 0.5);
+  for (int i = 0; i < 500; ++i) {
+    now += Millis(20);
+    governor.OnPause("model", 30, kGoal, now);
+  }
+  cr_assert_eq(governor.PartFor("model"), 1.0);
+}
+
 // A process that has just started does not know what an earlier life of it,
 // and peers that it has not met, have used.
 Test(retry_allowance, brings_the_slack_back_over_one_window) {
@@ -289,7 +336,8 @@
 }
 
 Test(endpoint_pool, leaves_a_replaced_endpoint_alone_until_listed_anew) {
-  EndpointPool pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; });
+  EndpointPool pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+                    [](const std::string&) { return 1.0; });
   pool.OnInstances(ListOf(1));
   const auto choice = pool.Choose("model", {}, kStart);
   pool.Release(*choice, AttemptResult::kReplaced, kStart);
@@ -301,7 +349,8 @@
 }
 
 Test(endpoint_pool, gives_no_work_to_a_leaving_endpoint) {
-  EndpointPool pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; });
+  EndpointPool pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+                    [](const std::string&) { return 1.0; });
   auto list = ListOf(2);
   list.instances[0].state = membership::InstanceState::kLeaving;
   pool.OnInstances(list);
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -32,7 +32,7 @@
   std::string body;
   std::string peer;  ///< Address of the sender, for received requests.
   /// Host that a sent request names; the called address when empty.
-  std::string authority;
+  std::string authority = "";
 
   /// Returns the target without its query.
   std::string Path() const;
