--- a/src/config/profile.h
+++ b/src/config/profile.h
@@ -58,7 +58,6 @@
   bool resumable = false;   ///< A stream can go on at another endpoint.
   bool needs_key = false;   ///< Callers show an organisation's key.
   std::int64_t goal_ms = 0;  ///< An answer in this time has its full worth.
-  std::int64_t pause_goal_ms = 0;  ///< So has a stream without longer pauses.
   std::int64_t urgency = 0;  ///< 0 comes first.
 };
 
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -71,7 +71,6 @@
   this->head = AnswerHead{};
   this->body.clear();
   this->splitter = EventSplitter{};
-  this->event_at = kernel::TimePoint{};
   const std::int64_t left = this->MillisLeft(now);
   const bool another = this->request.IsRepeatable() &&
                        this->sent < this->request.profile->attempts;
@@ -197,12 +196,6 @@
     continues = continues && this->TakeEvent(event, text);
   }
   this->context.pool.OnProgress(*this->endpoint, now);
-  if (this->event_at != kernel::TimePoint{}) {
-    this->context.governor.OnPause(
-        this->request.service, kernel::MillisBetween(this->event_at, now),
-        this->request.profile->pause_goal_ms, now);
-  }
-  this->event_at = now;
   if (this->attempt_until != this->answer_by)
     this->attempt_until = now + this->context.limits.silence;
   if (!text.empty()) {
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -10,7 +10,6 @@
 #include "direct/internal/direct_actions.h"
 #include "direct/internal/direct_work.h"
 #include "direct/internal/event_splitter.h"
-#include "direct/internal/pace_governor.h"
 #include "direct/internal/retry_allowance.h"
 #include "direct/internal/waiting_line.h"
 #include "http/i_http_runtime.h"
@@ -55,7 +54,6 @@
   EndpointPool& pool;
   RetryAllowance& retries;
   WaitingLine& line;
-  PaceGovernor& governor;
   std::size_t gateways = 1;  ///< That share the retries.
   DirectLimits limits;
 };
@@ -131,7 +129,6 @@
   kernel::TimePoint answer_by;  ///< The caller's or the profile's bound.
   kernel::TimePoint wait_until;
   kernel::TimePoint attempt_until;
-  kernel::TimePoint event_at;  ///< Of the last event of this attempt.
   std::uint64_t ticket = 0;  ///< In the waiting line.
 
   std::optional<EndpointChoice> endpoint;  ///< Of the current attempt.
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -40,14 +40,10 @@
       peers(std::move(peers)),
       membership(std::move(membership)),
       metrics(std::move(metrics)),
-      governor(PaceLimits{}),
       pool(
           this->settings.failure_domain, PoolLimits{}, seed,
           [this](const std::string& endpoint) {
             return this->peers->InFlightElsewhere(endpoint);
-          },
-          [this](const std::string& service) {
-            return this->governor.PartFor(service);
           }),
       retries(this->settings.retries, now),
       seeds(seed) {}
@@ -181,7 +177,6 @@
   const DirectContext context{this->pool,
                               this->retries,
                               this->line,
-                              this->governor,
                               this->peers->Live(begun).size() + 1,
                               this->settings.limits};
   DirectRunner::Environment environment;
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -94,7 +94,6 @@
   std::shared_ptr<peers::IPeers> peers;
   std::shared_ptr<membership::IMembership> membership;
   std::shared_ptr<kernel::Metrics> metrics;
-  PaceGovernor governor;
   EndpointPool pool;
   RetryAllowance retries;
   WaitingLine line;
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -32,13 +32,11 @@
 }
 
 EndpointPool::EndpointPool(std::string failure_domain, const PoolLimits& limits,
-                           std::uint64_t seed, InFlightElsewhere elsewhere,
-                           PartFor part_for)
+                           std::uint64_t seed, InFlightElsewhere elsewhere)
     : failure_domain(std::move(failure_domain)),
       limits(limits),
       seed(seed),
-      elsewhere(std::move(elsewhere)),
-      part_for(std::move(part_for)) {}
+      elsewhere(std::move(elsewhere)) {}
 
 std::shared_ptr<EndpointPool::Service> EndpointPool::Find(
     const std::string& service) {
@@ -98,13 +96,13 @@
 }
 
 std::optional<double> EndpointPool::LoadOf(const Endpoint& endpoint,
-                                           double part,
                                            kernel::TimePoint now) const {
   if (now < endpoint.full_until) return std::nullopt;
   const auto slots = static_cast<double>(this->SlotsOf(endpoint));
   const auto taken = static_cast<double>(
       endpoint.in_flight + this->elsewhere(endpoint.instance.id));
-  if (taken >= std::ceil(slots * part)) return std::nullopt;
+  const double most = std::ceil(slots * (1 + this->limits.waiting_part));
+  if (taken >= most) return std::nullopt;
   const bool far = endpoint.instance.failure_domain != this->failure_domain;
   return taken / slots + (far ? this->limits.distance_penalty : 0) +
          this->limits.failure_penalty * endpoint.failing;
@@ -112,14 +110,13 @@
 
 EndpointPool::Endpoint* EndpointPool::Best(Service& service,
                                            const std::set<std::string>& avoid,
-                                           double part,
                                            kernel::TimePoint now) const {
   std::vector<Endpoint*> best;
   double best_load = 0;
   bool best_ejected = false;
   for (auto& [id, endpoint] : service.endpoints) {
     const bool usable = IsUsable(endpoint, now) && avoid.count(id) == 0;
-    const auto load = usable ? this->LoadOf(endpoint, part, now) : std::nullopt;
+    const auto load = usable ? this->LoadOf(endpoint, now) : std::nullopt;
     if (!load) continue;
     // Ejected endpoints are the last resort: all of them failing at once says
     // more of the path there than of each.
@@ -144,9 +141,8 @@
     kernel::TimePoint now) {
   const auto found = this->Find(service);
   if (!found) return std::nullopt;
-  const double part = this->part_for(service);
   const std::lock_guard<std::mutex> lock(found->mutex);
-  Endpoint* best = this->Best(*found, avoid, part, now);
+  Endpoint* best = this->Best(*found, avoid, now);
   if (best == nullptr) return std::nullopt;
   ++best->in_flight;
   return EndpointChoice{best->instance.id, best->instance.address, service};
@@ -155,9 +151,8 @@
 bool EndpointPool::HasRoom(const std::string& service, kernel::TimePoint now) {
   const auto found = this->Find(service);
   if (!found) return false;
-  const double part = this->part_for(service);
   const std::lock_guard<std::mutex> lock(found->mutex);
-  return this->Best(*found, {}, part, now) != nullptr;
+  return this->Best(*found, {}, now) != nullptr;
 }
 
 bool EndpointPool::HasEndpoints(const std::string& service,
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -38,6 +38,9 @@
 
 /// Bounds on how endpoints are used.
 struct PoolLimits {
+  /// Requests that an endpoint may hold beyond its slots, as a part of them:
+  /// a little work must wait there, for the next to begin without a pause.
+  double waiting_part = 0.2;
   /// Slots taken for granted where the platform lists none.
   std::int64_t slots_when_unknown = 8;
   /// Added to the load of endpoints in another failure domain, as a part of
@@ -62,12 +65,8 @@
   /// Returns the requests that other gateways have at an endpoint.
   using InFlightElsewhere = std::function<std::int64_t(const std::string&)>;
 
-  /// Returns the part of their slots that endpoints of a service are given.
-  using PartFor = std::function<double(const std::string&)>;
-
   EndpointPool(std::string failure_domain, const PoolLimits& limits,
-               std::uint64_t seed, InFlightElsewhere elsewhere,
-               PartFor part_for);
+               std::uint64_t seed, InFlightElsewhere elsewhere);
 
   /// Takes over a new list. Counts of endpoints that stay are kept.
   void OnInstances(const membership::InstanceList& list);
@@ -127,18 +126,16 @@
   static bool IsUsable(const Endpoint& endpoint, kernel::TimePoint now);
   std::int64_t SlotsOf(const Endpoint& endpoint) const;
   /// Returns the load as a part of the slots, or nothing when it has no room.
-  /// @param part of the slots that the endpoint is given.
-  std::optional<double> LoadOf(const Endpoint& endpoint, double part,
+  std::optional<double> LoadOf(const Endpoint& endpoint,
                                kernel::TimePoint now) const;
   Endpoint* Best(Service& service, const std::set<std::string>& avoid,
-                 double part, kernel::TimePoint now) const;
+                 kernel::TimePoint now) const;
   void OnFailure(Endpoint& endpoint, kernel::TimePoint now) const;
 
   std::string failure_domain;
   PoolLimits limits;
   std::uint64_t seed;
   InFlightElsewhere elsewhere;
-  PartFor part_for;
   std::mutex mutex;  ///< Of `services`, not of what they hold.
   std::map<std::string, std::shared_ptr<Service>> services;
 };
