Notice changes of demand sooner, and plan anew while ranks copy

Cause: after demand had changed, the first new map was planned on a mixture of old and new demand, took 0.7 s, and was followed by the right one; changes came one or two passes later than the ranks were ready. Change: a fast estimate beside the slow one, which begins anew when the two part; counts each 120 ms; the lead looks again while weights are copied; the step lies only as far ahead as arming takes.

--- a/src/experts/internal/demand_window.h
+++ b/src/experts/internal/demand_window.h
@@ -12,12 +12,28 @@
 
 namespace banyanlane::experts {
 
+/// How demand is told from chance.
+struct DemandLimits {
+  /// What was counted this long ago weighs half, in the estimate that is used
+  /// and in the one that notices a change of demand.
+  kernel::Millis slow_half_life{700};
+  kernel::Millis fast_half_life{150};
+  /// Distance between the two, as a multiple of the usual one, at which demand
+  /// is taken to have changed at once.
+  double break_factor = 1.7;
+  /// Distances below this are never a change.
+  double least_break = 0.1;
+};
+
 /// Recent demand for each expert, from the counts of all ranks. I/O-free; not
 /// thread-safe.
+///
+/// Two estimates are kept. While they agree the slow one is used, which chance
+/// moves little; when they part, demand has changed, and the slow one begins
+/// anew from the fast one.
 class DemandWindow {
  public:
-  /// @param half_life after which what was counted weighs half.
-  explicit DemandWindow(kernel::Millis half_life) : half_life(half_life) {}
+  explicit DemandWindow(const DemandLimits& limits) : limits(limits) {}
 
   /// Takes counts that have grown since the rank started.
   void OnCounts(const link::ExpertCounts& counts, kernel::TimePoint now);
@@ -33,11 +49,25 @@
   void Forget();
 
  private:
+  /// Weights by layer and expert, of which older ones fade.
+  struct Estimate {
+    std::vector<double> weights;
+    double sum = 0;
+    void Fade(double kept);
+    void Add(std::size_t index, double amount);
+  };
+
   void Fade(kernel::TimePoint now);
+  void NoticeBreak(kernel::TimePoint now);
+  /// Returns how far the estimates are apart: 0 alike, 1 nothing in common.
+  double Distance() const;
 
-  kernel::Millis half_life;
+  DemandLimits limits;
   std::map<std::uint64_t, std::vector<std::uint64_t>> last;  ///< By rank.
-  std::vector<double> weights;  ///< By layer and expert.
+  Estimate slow;
+  Estimate fast;
+  double usual_distance = 0;
+  kernel::TimePoint compared_at;
   kernel::TimePoint faded_at;
   double total = 0;
 };
--- a/src/experts/internal/group_lead.cc
+++ b/src/experts/internal/group_lead.cc
@@ -12,14 +12,13 @@
 using link::RankStatus;
 using link::SwitchGoal;
 
-/// What was counted this long ago weighs half.
-constexpr kernel::Millis kDemandHalfLife{500};
 /// Versions and fences of two leads that know nothing of one another differ by
 /// chance: one in this many is the same.
 constexpr std::uint64_t kChance = std::uint64_t{1} << 20U;
 /// Part of a layer's time that a single change to its map must save.
 constexpr double kLeastGainOfChange = 0.015;
 constexpr double kStepWeightOfNew = 0.3;
+constexpr double kArmWeightOfNew = 0.4;
 constexpr kernel::Millis kStepSpan{250};
 constexpr double kLongestStepMillis = 2'000;
 
@@ -30,7 +29,7 @@
     : limits(limits),
       name(std::move(name)),
       random(seed),
-      demand(kDemandHalfLife) {}
+      demand(DemandLimits{}) {}
 
 std::uint64_t GroupLead::Random(std::uint64_t below) {
   return std::uniform_int_distribution<std::uint64_t>(0,
@@ -148,6 +147,12 @@
   this->measured_at = now;
 }
 
+void GroupLead::MeasureArming(kernel::TimePoint now) {
+  const double millis =
+      std::chrono::duration<double, std::milli>(now - this->entered_at).count();
+  this->arm_ms += kArmWeightOfNew * (millis - this->arm_ms);
+}
+
 void GroupLead::Watch(kernel::TimePoint now) {
   if (!this->IsComplete(now) || now < this->next_plan) return;
   this->next_plan = now + this->limits.plan_period;
@@ -197,6 +202,21 @@
   this->must_send = true;
 }
 
+void GroupLead::Replan(kernel::TimePoint now) {
+  if (now < this->next_plan) return;
+  this->next_plan = now + this->limits.plan_period;
+  const auto load = this->demand.Load(this->current.size());
+  if (!load) return;
+  const EvenPlanner planner(this->limits.bounds, kLeastGainOfChange);
+  ExpertMap better = planner.Improve(this->current, *load);
+  const double planned_time = MapTime(*this->planned, *load);
+  const double better_time = MapTime(better, *load);
+  if (better_time > planned_time * (1 - this->limits.replan_saving)) return;
+  this->planned = std::move(better);
+  this->version = this->NextVersion();
+  this->Enter(Stage::kPreparing, now);
+}
+
 void GroupLead::BeginAttempt(kernel::TimePoint now) {
   this->RaiseFence();
   this->Enter(Stage::kFollowing, now);
@@ -225,11 +245,10 @@
 }
 
 void GroupLead::ChooseStep(std::uint64_t own_rank, kernel::TimePoint now) {
-  const std::uint64_t lead = std::max(
-      this->limits.least_lead_steps,
-      static_cast<std::uint64_t>(std::ceil(
-          static_cast<double>(this->limits.lead_time.count()) /
-          std::max(1.0, this->step_ms))));
+  // Arming that outlasts the lead holds the group up; a longer lead keeps it
+  // on the old map for longer.
+  const auto lead = static_cast<std::uint64_t>(this->arm_ms /
+                                               std::max(1.0, this->step_ms));
   const std::uint64_t reached = this->ranks.at(own_rank).status.step;
   // Never the same step twice, so that a late release of one attempt can't end
   // the next one's hold.
@@ -277,6 +296,8 @@
         this->Enter(Stage::kPreparing, now);
       } else if (this->TookLonger(this->limits.prepare, now)) {
         this->GiveUp("weights were not copied in time", now);
+      } else {
+        this->Replan(now);
       }
       return;
     case Stage::kHolding:
@@ -288,8 +309,10 @@
                    status.armed_version == this->version &&
                    status.armed_step == this->step;
           })) {
+        this->MeasureArming(now);
         this->Enter(Stage::kReleasing, now);
       } else if (this->TookLonger(this->limits.arm, now)) {
+        this->MeasureArming(now);
         this->Abandon("not all ranks armed", now);
       }
       return;
@@ -311,7 +334,7 @@
                 {"version", std::to_string(this->version)},
                 {"step", std::to_string(this->step)}});
         this->planned.reset();
-        this->next_plan = now + this->limits.plan_period;
+        this->next_plan = now;
         this->Enter(Stage::kWatching, now);
       }
       return;
--- a/src/experts/internal/group_lead.h
+++ b/src/experts/internal/group_lead.h
@@ -28,13 +28,12 @@
   kernel::Millis refused{400};
   kernel::Millis hold{800};
   kernel::Millis arm{1'500};
-  /// Time between the choice of the step and its beginning: arming takes a few
-  /// local calls and two delays between failure domains.
-  kernel::Millis lead_time{60};
-  std::uint64_t least_lead_steps = 1;
   /// Commands are repeated after this.
   kernel::Millis repeat{250};
-  kernel::Millis plan_period{200};
+  kernel::Millis plan_period{100};
+  /// Part of the time that another map must save over the planned one, for the
+  /// ranks to copy for that one instead.
+  double replan_saving = 0.15;
   /// After an attempt that was given up.
   kernel::Millis pause{600};
   /// After ranks were found to follow another lead: longer than a lease.
@@ -113,6 +112,8 @@
 
   void Watch(kernel::TimePoint now);
   void Plan(kernel::TimePoint now);
+  /// Plans anew while weights are copied, if demand has changed.
+  void Replan(kernel::TimePoint now);
   void BeginAttempt(kernel::TimePoint now);
   void AfterFollowing(kernel::TimePoint now);
   void ChooseStep(std::uint64_t own_rank, kernel::TimePoint now);
@@ -124,6 +125,7 @@
   void RaiseFence();
   bool TookLonger(kernel::Millis bound, kernel::TimePoint now) const;
   void MeasureSteps(kernel::TimePoint now);
+  void MeasureArming(kernel::TimePoint now);
 
   link::SwitchCommand CommandFor(std::uint64_t rank,
                                  std::uint64_t own_rank) const;
@@ -159,6 +161,7 @@
   std::uint64_t abandon_version = 0;
 
   double step_ms = 60;  ///< Moving mean of a pass's duration.
+  double arm_ms = 30;   ///< Moving mean of the time that arming takes.
   std::uint64_t measured_step = 0;
   kernel::TimePoint measured_at;
   std::vector<std::pair<kernel::EventId, kernel::EventFields>> reports;
--- a/src/experts/internal/rank_service.h
+++ b/src/experts/internal/rank_service.h
@@ -19,7 +19,7 @@
 struct RankServiceLimits {
   kernel::Millis calm_poll{250};    ///< While no change is under way.
   kernel::Millis busy_poll{20};     ///< While one is.
-  kernel::Millis counts_poll{250};
+  kernel::Millis counts_poll{120};
   kernel::Millis answer{400};       ///< Bound on one read.
   kernel::Millis publish{1'000};    ///< Statements to gateways.
   /// Statements of a lead to the agents that it does not command now.
