Give slow ranks less work

Change: an agent tells its engine's pace to the lead, which plans loads by it, and to gateways, which give the endpoint as many fewer requests. Excluded: leaving the slow rank without any expert at once; three copies a rank in one change keep changes short, and the next ones go on. Tests: even_planner/takes_work_from_a_slow_rank.

--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -44,6 +44,9 @@
           this->settings.failure_domain, PoolLimits{}, seed,
           [this](const std::string& endpoint) {
             return this->peers->InFlightElsewhere(endpoint);
+          },
+          [this](const std::string& address) {
+            return this->peers->PaceOf(address);
           }),
       retries(this->settings.retries, now),
       seeds(seed) {}
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -32,11 +32,13 @@
 }
 
 EndpointPool::EndpointPool(std::string failure_domain, const PoolLimits& limits,
-                           std::uint64_t seed, InFlightElsewhere elsewhere)
+                           std::uint64_t seed, InFlightElsewhere elsewhere,
+                           PaceOf pace_of)
     : failure_domain(std::move(failure_domain)),
       limits(limits),
       seed(seed),
-      elsewhere(std::move(elsewhere)) {}
+      elsewhere(std::move(elsewhere)),
+      pace_of(std::move(pace_of)) {}
 
 std::shared_ptr<EndpointPool::Service> EndpointPool::Find(
     const std::string& service) {
@@ -98,7 +100,10 @@
 std::optional<double> EndpointPool::LoadOf(const Endpoint& endpoint,
                                            kernel::TimePoint now) const {
   if (now < endpoint.full_until) return std::nullopt;
-  const auto slots = static_cast<double>(this->SlotsOf(endpoint));
+  // A slow engine that ran as many requests as others would hold them all up,
+  // where they run in lock-step.
+  const double slots = static_cast<double>(this->SlotsOf(endpoint)) /
+                       std::max(1.0, this->pace_of(endpoint.instance.address));
   const auto taken = static_cast<double>(
       endpoint.in_flight + this->elsewhere(endpoint.instance.id));
   const double most = std::ceil(slots * (1 + this->limits.waiting_part));
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -65,8 +65,13 @@
   /// Returns the requests that other gateways have at an endpoint.
   using InFlightElsewhere = std::function<std::int64_t(const std::string&)>;
 
+  /// Returns the time that the work of the endpoint at an address takes,
+  /// against the usual.
+  using PaceOf = std::function<double(const std::string&)>;
+
   EndpointPool(std::string failure_domain, const PoolLimits& limits,
-               std::uint64_t seed, InFlightElsewhere elsewhere);
+               std::uint64_t seed, InFlightElsewhere elsewhere,
+               PaceOf pace_of);
 
   /// Takes over a new list. Counts of endpoints that stay are kept.
   void OnInstances(const membership::InstanceList& list);
@@ -136,6 +141,7 @@
   PoolLimits limits;
   std::uint64_t seed;
   InFlightElsewhere elsewhere;
+  PaceOf pace_of;
   std::mutex mutex;  ///< Of `services`, not of what they hold.
   std::map<std::string, std::shared_ptr<Service>> services;
 };
--- a/src/direct/tests/direct_flow_test.cc
+++ b/src/direct/tests/direct_flow_test.cc
@@ -54,7 +54,8 @@
  public:
   World(bool streaming, bool repeatable, int endpoints = 3,
         RetryLimits retry_limits = {0.2, Millis(10'000), 100, 1.0})
-      : pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; }),
+      : pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+                    [](const std::string&) { return 1.0; }),
         retries(retry_limits, TimePoint{}) {
     this->pool.OnInstances(ListOf(endpoints));
     auto snapshot = std::make_shared<config::ConfigSnapshot>();
@@ -307,7 +308,8 @@
 }
 
 Test(endpoint_pool, leaves_a_replaced_endpoint_alone_until_listed_anew) {
-  EndpointPool pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; });
+  EndpointPool pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+                    [](const std::string&) { return 1.0; });
   pool.OnInstances(ListOf(1));
   const auto choice = pool.Choose("model", {}, kStart);
   pool.Release(*choice, AttemptResult::kReplaced, kStart);
@@ -319,7 +321,8 @@
 }
 
 Test(endpoint_pool, gives_no_work_to_a_leaving_endpoint) {
-  EndpointPool pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; });
+  EndpointPool pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+                    [](const std::string&) { return 1.0; });
   auto list = ListOf(2);
   list.instances[0].state = membership::InstanceState::kLeaving;
   pool.OnInstances(list);
--- a/src/experts/experts_module.cc
+++ b/src/experts/experts_module.cc
@@ -26,7 +26,8 @@
     const kernel::Settings& settings = context.settings();
     this->runtime = context.Resolve<http::IHttpRuntime>();
     this->service = std::make_shared<RankService>(
-        settings.Text("node", "id"), RankServiceLimits{}, GroupLeadLimits{},
+        settings.Text("node", "id"), settings.Text("rank", "engine"),
+        RankServiceLimits{}, GroupLeadLimits{},
         context.Resolve<IRankEngine>(), context.Resolve<peers::IPeers>(),
         kernel::Hash64(kernel::RandomId()));
     context.Resolve<link::ILinkHub>()->Subscribe(this->service);
@@ -60,7 +61,9 @@
      {Role::kRank},
      kernel::StartOrder::kService,
      {{"rank", "service", SettingKind::kText, "", true, 0, 0,
-       "Service that the ranks' endpoints serve."}},
+       "Service that the ranks' endpoints serve."},
+      {"rank", "engine", SettingKind::kText, "", true, 0, 0,
+       "Address of the rank's model engine."}},
      [] { return std::make_unique<ExpertsModule>(); }});
 
 }  // namespace
--- a/src/experts/i_rank_engine.h
+++ b/src/experts/i_rank_engine.h
@@ -37,6 +37,7 @@
   std::optional<std::uint64_t> prepared;  ///< Its weights are complete.
   std::optional<ArmedMap> armed;
   std::optional<std::uint64_t> held;  ///< Pass that the group must not begin.
+  double pace = 1;  ///< Time that its work takes, against the usual.
 };
 
 /// How often the rank's work chose each expert since the rank started.
--- a/src/experts/internal/even_planner.cc
+++ b/src/experts/internal/even_planner.cc
@@ -23,7 +23,8 @@
   return fourth * fourth * fourth;
 }
 
-std::vector<double> LoadsOf(const LayerMap& layer, const LayerLoad& load) {
+std::vector<double> LoadsOf(const LayerMap& layer, const LayerLoad& load,
+                            const RankPaces& paces) {
   std::vector<std::size_t> holders(load.size(), 0);
   for (const auto& experts : layer) {
     for (const std::uint64_t expert : experts) ++holders[expert];
@@ -32,6 +33,7 @@
   for (std::size_t rank = 0; rank < layer.size(); ++rank) {
     for (const std::uint64_t expert : layer[rank])
       loads[rank] += load[expert] / static_cast<double>(holders[expert]);
+    loads[rank] *= paces[rank];
   }
   return loads;
 }
@@ -55,10 +57,12 @@
  public:
   /// @param copies how many experts each rank has still to copy in all layers.
   LayerSearch(const LayerMap& current, const LayerLoad& load,
-              const MapBounds& bounds, std::vector<std::size_t>& copies)
+              const RankPaces& paces, const MapBounds& bounds,
+              std::vector<std::size_t>& copies)
       : before(current),
         layer(current),
         load(load),
+        paces(paces),
         bounds(bounds),
         copies(copies),
         held(current.size(), std::vector<bool>(load.size(), false)),
@@ -70,7 +74,7 @@
         ++this->holders[expert];
       }
     }
-    this->loads = LoadsOf(current, load);
+    this->loads = LoadsOf(current, load, paces);
     const double total =
         std::accumulate(this->loads.begin(), this->loads.end(), 0.0);
     this->mean = std::max(total / static_cast<double>(current.size()), 1e-12);
@@ -122,7 +126,7 @@
         this->Take(change.from, change.expert);
         break;
     }
-    this->loads = LoadsOf(this->layer, this->load);
+    this->loads = LoadsOf(this->layer, this->load, this->paces);
   }
 
   const LayerMap& result() const { return this->layer; }
@@ -225,6 +229,7 @@
       double delta = 0;
       for (; i < deltas.size() && deltas[i].first == rank; ++i)
         delta += deltas[i].second;
+      delta *= this->paces[rank];
       changed += this->CostOf(this->loads[rank] + delta) -
                  this->CostOf(this->loads[rank]);
     }
@@ -254,6 +259,7 @@
   const LayerMap& before;
   LayerMap layer;
   const LayerLoad& load;
+  const RankPaces& paces;
   const MapBounds& bounds;
   std::vector<std::size_t>& copies;     ///< By rank, over all layers.
   std::vector<std::vector<bool>> held;  ///< By rank and expert.
@@ -269,20 +275,23 @@
 
 }  // namespace
 
-double MapTime(const ExpertMap& map, const GroupLoad& load) {
+double MapTime(const ExpertMap& map, const GroupLoad& load,
+               const RankPaces& paces) {
   double time = 0;
   for (std::size_t layer = 0; layer < map.size(); ++layer) {
-    const auto loads = LoadsOf(map[layer], load[layer]);
+    const auto loads = LoadsOf(map[layer], load[layer], paces);
     time += *std::max_element(loads.begin(), loads.end());
   }
   return time;
 }
 
-double LeastMapTime(const GroupLoad& load, std::size_t ranks) {
+double LeastMapTime(const GroupLoad& load, const RankPaces& paces) {
+  double speed = 0;
+  for (const double pace : paces) speed += 1 / pace;
   double time = 0;
   for (const LayerLoad& layer : load)
     time += std::accumulate(layer.begin(), layer.end(), 0.0);
-  return time / static_cast<double>(std::max<std::size_t>(1, ranks));
+  return speed > 0 ? time / speed : 0;
 }
 
 std::size_t CopiesBetween(const ExpertMap& before, const ExpertMap& after) {
@@ -298,14 +307,15 @@
   return copies;
 }
 
-ExpertMap EvenPlanner::Improve(const ExpertMap& current,
-                               const GroupLoad& load) const {
+ExpertMap EvenPlanner::Improve(const ExpertMap& current, const GroupLoad& load,
+                               const RankPaces& paces) const {
   const std::size_t ranks = current.empty() ? 0 : current.front().size();
   std::vector<std::size_t> copies(ranks, 0);
   std::vector<LayerSearch> layers;
   layers.reserve(current.size());
   for (std::size_t layer = 0; layer < current.size(); ++layer)
-    layers.emplace_back(current[layer], load[layer], this->bounds, copies);
+    layers.emplace_back(current[layer], load[layer], paces, this->bounds,
+                        copies);
   std::vector<Change> best;
   for (const LayerSearch& layer : layers)
     best.push_back(layer.Best(this->least_gain));
--- a/src/experts/internal/even_planner.h
+++ b/src/experts/internal/even_planner.h
@@ -18,11 +18,16 @@
   std::size_t copies = 3;
 };
 
-/// Returns the sum over layers of the most loaded rank's tokens.
-double MapTime(const ExpertMap& map, const GroupLoad& load);
+/// Time that each rank's work takes, against the usual.
+using RankPaces = std::vector<double>;
 
-/// Returns the sum over layers of the mean load of a rank: no map is faster.
-double LeastMapTime(const GroupLoad& load, std::size_t ranks);
+/// Returns the sum over layers of the time of the slowest rank, in tokens.
+double MapTime(const ExpertMap& map, const GroupLoad& load,
+               const RankPaces& paces);
+
+/// Returns the sum over layers of the time that all ranks would take if their
+/// work could be divided at will: no map is faster.
+double LeastMapTime(const GroupLoad& load, const RankPaces& paces);
 
 /// Returns how many experts ranks must copy to go from `before` to `after`.
 std::size_t CopiesBetween(const ExpertMap& before, const ExpertMap& after);
@@ -36,7 +41,8 @@
 
   /// Returns a map that can be reached from `current` in one change and in
   /// which the most loaded rank of each layer has as little as was found.
-  ExpertMap Improve(const ExpertMap& current, const GroupLoad& load) const;
+  ExpertMap Improve(const ExpertMap& current, const GroupLoad& load,
+                    const RankPaces& paces) const;
 
  private:
   MapBounds bounds;
--- a/src/experts/internal/group_lead.cc
+++ b/src/experts/internal/group_lead.cc
@@ -18,6 +18,9 @@
 /// Part of a layer's time that a single change to its map must save.
 constexpr double kLeastGainOfChange = 0.015;
 constexpr double kStepWeightOfNew = 0.3;
+constexpr double kHundred = 100;
+/// Ranks below this pace are planned for as usual, so that jitter moves nothing.
+constexpr double kUsualPace = 1.2;
 constexpr double kArmWeightOfNew = 0.4;
 constexpr kernel::Millis kStepSpan{250};
 constexpr double kLongestStepMillis = 2'000;
@@ -99,6 +102,15 @@
   return map;
 }
 
+RankPaces GroupLead::Paces() const {
+  RankPaces paces;
+  for (const auto& entry : this->ranks) {
+    const double pace = static_cast<double>(entry.second.status.pace) / kHundred;
+    paces.push_back(pace > kUsualPace ? pace : 1.0);
+  }
+  return paces;
+}
+
 std::uint64_t GroupLead::HighestVersion() const {
   std::uint64_t highest = std::max(this->version, this->abandon_version);
   for (const auto& [rank, known] : this->ranks) {
@@ -173,13 +185,14 @@
   if (!may_plan) return;
   const auto load = this->demand.Load(this->current.size());
   if (!load) return;
+  const RankPaces paces = this->Paces();
   const EvenPlanner planner(this->limits.bounds, kLeastGainOfChange);
-  const ExpertMap better = planner.Improve(this->current, *load);
-  const double before = MapTime(this->current, *load);
-  const double after = MapTime(better, *load);
+  const ExpertMap better = planner.Improve(this->current, *load, paces);
+  const double before = MapTime(this->current, *load, paces);
+  const double after = MapTime(better, *load, paces);
   if (before <= 0 || (before - after) / before < this->limits.least_saving)
     return;
-  const double least = LeastMapTime(*load, this->size);
+  const double least = LeastMapTime(*load, paces);
   this->reports.emplace_back(
       EventId::kMapPlanned,
       kernel::EventFields{
@@ -207,10 +220,11 @@
   this->next_plan = now + this->limits.plan_period;
   const auto load = this->demand.Load(this->current.size());
   if (!load) return;
+  const RankPaces paces = this->Paces();
   const EvenPlanner planner(this->limits.bounds, kLeastGainOfChange);
-  ExpertMap better = planner.Improve(this->current, *load);
-  const double planned_time = MapTime(*this->planned, *load);
-  const double better_time = MapTime(better, *load);
+  ExpertMap better = planner.Improve(this->current, *load, paces);
+  const double planned_time = MapTime(*this->planned, *load, paces);
+  const double better_time = MapTime(better, *load, paces);
   if (better_time > planned_time * (1 - this->limits.replan_saving)) return;
   this->planned = std::move(better);
   this->version = this->NextVersion();
--- a/src/experts/internal/group_lead.h
+++ b/src/experts/internal/group_lead.h
@@ -106,6 +106,7 @@
   template <typename Predicate>
   bool Any(Predicate predicate) const;
   std::optional<ExpertMap> CurrentMap() const;
+  RankPaces Paces() const;
   std::uint64_t HighestVersion() const;
   std::uint64_t NextVersion();
   bool IsUnfinished() const;
--- a/src/experts/internal/rank_agent.cc
+++ b/src/experts/internal/rank_agent.cc
@@ -162,6 +162,8 @@
   status.fence = this->LeaseEnded(now) ? 0 : this->command->fence;
   status.highest_fence = this->highest_fence;
   status.refused_version = this->refused_version;
+  constexpr double kHundred = 100;
+  status.pace = static_cast<std::uint64_t>(is.pace * kHundred);
   const bool known = this->experts && this->experts->epoch == is.epoch &&
                      this->experts->version == is.map_version;
   if (known) status.experts = FlattenExperts(this->experts->experts);
--- a/src/experts/internal/rank_service.cc
+++ b/src/experts/internal/rank_service.cc
@@ -25,12 +25,14 @@
 
 }  // namespace
 
-RankService::RankService(std::string node, const RankServiceLimits& limits,
+RankService::RankService(std::string node, std::string engine_address,
+                         const RankServiceLimits& limits,
                          const GroupLeadLimits& lead_limits,
                          std::shared_ptr<IRankEngine> engine,
                          std::shared_ptr<peers::IPeers> peers,
                          std::uint64_t seed)
     : node(std::move(node)),
+      engine_address(std::move(engine_address)),
       limits(limits),
       engine(std::move(engine)),
       peers(std::move(peers)),
@@ -107,6 +109,7 @@
   Outbox outbox;
   bool is_lead = false;
   bool publish = false;
+  double pace = 1;
   std::vector<std::string> addresses;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -119,6 +122,7 @@
     }
     this->leading = is_lead;
     this->Act(outbox, now);
+    if (this->report) pace = this->report->pace;
     publish = now >= this->next_publish;
     if (publish) this->next_publish = now + this->limits.publish;
   }
@@ -126,6 +130,8 @@
   if (!publish) return;
   peers::LocalState state;
   state.ready = true;
+  state.engine_address = this->engine_address;
+  state.engine_pace = pace;
   this->peers->Publish(std::move(state), kernel::Clock::now());
   if (is_lead) {
     for (const peers::Peer& peer : this->peers->Known(peers::kRankRole))
--- a/src/experts/internal/rank_service.h
+++ b/src/experts/internal/rank_service.h
@@ -35,7 +35,9 @@
 class RankService : public link::ILinkObserver,
                     public std::enable_shared_from_this<RankService> {
  public:
-  RankService(std::string node, const RankServiceLimits& limits,
+  /// @param engine_address under which callers know the engine.
+  RankService(std::string node, std::string engine_address,
+              const RankServiceLimits& limits,
               const GroupLeadLimits& lead_limits,
               std::shared_ptr<IRankEngine> engine,
               std::shared_ptr<peers::IPeers> peers, std::uint64_t seed);
@@ -76,6 +78,7 @@
   static void Deliver(const Outbox& outbox);
 
   std::string node;
+  std::string engine_address;
   RankServiceLimits limits;
   std::shared_ptr<IRankEngine> engine;
   std::shared_ptr<peers::IPeers> peers;
--- a/src/experts/tests/even_planner_test.cc
+++ b/src/experts/tests/even_planner_test.cc
@@ -17,6 +17,8 @@
 constexpr double kLeastGain = 0.015;
 constexpr MapBounds kBounds{5, 2, 3};
 
+const RankPaces kUsual(kRanks, 1.0);
+
 ExpertMap InTurn() {
   ExpertMap map(kLayers, std::vector<std::vector<std::uint64_t>>(kRanks));
   for (auto& layer : map) {
@@ -69,26 +71,39 @@
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     const GroupLoad load = SkewedLoad(seed);
     ExpertMap map = InTurn();
-    const double least = LeastMapTime(load, kRanks);
-    const double before = MapTime(map, load) / least;
+    const double least = LeastMapTime(load, kUsual);
+    const double before = MapTime(map, load, kUsual) / least;
     for (int change = 0; change < 3; ++change) {
-      const ExpertMap better = planner.Improve(map, load);
+      const ExpertMap better = planner.Improve(map, load, kUsual);
       CheckBounds(map, better);
-      cr_assert_leq(MapTime(better, load), MapTime(map, load));
+      cr_assert_leq(MapTime(better, load, kUsual), MapTime(map, load, kUsual));
       map = better;
     }
-    const double after = MapTime(map, load) / least;
+    const double after = MapTime(map, load, kUsual) / least;
     cr_assert_lt(after - 1, (before - 1) / 2, "seed %d: %f to %f",
                  static_cast<int>(seed), before, after);
   }
 }
 
+Test(even_planner, takes_work_from_a_slow_rank) {
+  const EvenPlanner planner(kBounds, kLeastGain);
+  RankPaces paces = kUsual;
+  paces[3] = 5;
+  const GroupLoad load = SkewedLoad(1);
+  ExpertMap map = InTurn();
+  for (int change = 0; change < 6; ++change)
+    map = planner.Improve(map, load, paces);
+  cr_assert_lt(MapTime(map, load, paces),
+               1.5 * LeastMapTime(load, paces), "%f",
+               MapTime(map, load, paces) / LeastMapTime(load, paces));
+}
+
 Test(even_planner, moves_nothing_that_saves_nothing) {
   const EvenPlanner planner(kBounds, kLeastGain);
   const GroupLoad even(kLayers, LayerLoad(kExperts, 1.0));
-  cr_assert_eq(CopiesBetween(InTurn(), planner.Improve(InTurn(), even)), 0);
+  cr_assert_eq(CopiesBetween(InTurn(), planner.Improve(InTurn(), even, kUsual)), 0);
   const GroupLoad none(kLayers, LayerLoad(kExperts, 0.0));
-  cr_assert_eq(CopiesBetween(InTurn(), planner.Improve(InTurn(), none)), 0);
+  cr_assert_eq(CopiesBetween(InTurn(), planner.Improve(InTurn(), none, kUsual)), 0);
 }
 
 Test(map_codec, returns_what_it_wrote_and_refuses_what_is_cut) {
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -308,12 +308,17 @@
   bool leaving = false;
   /// Requests it has at endpoints, as ID=COUNT.
   std::vector<std::string> in_flight;
+  /// Rank agents: address of the engine, and the time that its work takes, in
+  /// hundredths of the usual.
+  std::string engine_address;
+  std::uint64_t engine_pace = 100;
 
   template <typename Visitor>
   void Visit(Visitor& visit) {
     visit(this->role, this->node, this->incarnation, this->sequence,
           this->link_address, this->caller_address, this->failure_domain, this->ready,
-          this->leaving, this->in_flight);
+          this->leaving, this->in_flight, this->engine_address,
+          this->engine_pace);
   }
 };
 
@@ -343,6 +348,7 @@
   std::uint64_t fence = 0;      ///< Of the lead that it obeys.
   std::uint64_t highest_fence = 0;  ///< That it has met.
   std::uint64_t refused_version = 0;  ///< That it could not prepare.
+  std::uint64_t pace = 100;  ///< Time that its work takes, in hundredths.
   /// Experts in use: for each layer their number, then each of them.
   std::vector<std::uint64_t> experts;
 
@@ -351,7 +357,8 @@
     visit(this->group, this->epoch, this->rank, this->size, this->open,
           this->step, this->map_version, this->prepared_version,
           this->armed_version, this->armed_step, this->held_step, this->fence,
-          this->highest_fence, this->refused_version, this->experts);
+          this->highest_fence, this->refused_version, this->pace,
+          this->experts);
   }
 };
 
--- a/src/peers/i_peers.h
+++ b/src/peers/i_peers.h
@@ -30,6 +30,10 @@
   bool leaving = false;
   /// Requests it has at each endpoint, by the endpoint's id.
   std::vector<std::pair<std::string, std::int64_t>> in_flight;
+  /// Rank agents: their engine's address, and the time that its work takes
+  /// against the usual.
+  std::string engine_address;
+  double engine_pace = 1;
 };
 
 /// Knows the other gateways.
@@ -49,6 +53,10 @@
   /// Returns how many requests the live peers together have at `endpoint`.
   virtual std::int64_t InFlightElsewhere(const std::string& endpoint) = 0;
 
+  /// Returns the time that an engine's work takes against the usual, as its
+  /// rank agent told; 1 when none did lately.
+  virtual double PaceOf(const std::string& engine_address) = 0;
+
   /// Tells the peers at once.
   virtual void Publish(LocalState state, kernel::TimePoint now) = 0;
 };
--- a/src/peers/internal/peer_gossip.cc
+++ b/src/peers/internal/peer_gossip.cc
@@ -16,6 +16,11 @@
   return this->table.InFlightElsewhere(endpoint);
 }
 
+double PeerGossip::PaceOf(const std::string& engine_address) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->table.PaceOf(engine_address);
+}
+
 void PeerGossip::Publish(LocalState state, kernel::TimePoint now) {
   link::PeerStates statement;
   {
--- a/src/peers/internal/peer_gossip.h
+++ b/src/peers/internal/peer_gossip.h
@@ -19,6 +19,7 @@
 
   std::vector<Peer> Live(kernel::TimePoint now) override;
   std::int64_t InFlightElsewhere(const std::string& endpoint) override;
+  double PaceOf(const std::string& engine_address) override;
   std::vector<Peer> Known(const std::string& role) override;
   void LinkTo(std::vector<std::string> addresses) override;
   void Publish(LocalState state, kernel::TimePoint now) override;
--- a/src/peers/internal/peer_table.cc
+++ b/src/peers/internal/peer_table.cc
@@ -11,10 +11,21 @@
 /// Gateways that a rank agent links to besides the seeds, which may be down.
 constexpr std::size_t kGatewaysPerRank = 2;
 
+/// Paces are told to all when they cross one of these, in hundredths.
+constexpr std::uint64_t kPaceStep = 50;
+constexpr double kHundred = 100;
+/// Paces below this are usual.
+constexpr double kUsualPace = 1.2;
+
+std::uint64_t PaceStep(std::uint64_t pace) {
+  return (pace + kPaceStep / 2) / kPaceStep;
+}
+
 /// Whether `later` differs from `earlier` in more than its sequence and counts.
 bool SaysMore(const link::PeerState& earlier, const link::PeerState& later) {
   return earlier.incarnation != later.incarnation ||
-         earlier.ready != later.ready || earlier.leaving != later.leaving;
+         earlier.ready != later.ready || earlier.leaving != later.leaving ||
+         PaceStep(earlier.engine_pace) != PaceStep(later.engine_pace);
 }
 
 }  // namespace
@@ -26,6 +37,9 @@
   ++this->self.sequence;
   this->self.ready = state.ready;
   this->self.leaving = state.leaving;
+  this->self.engine_address = state.engine_address;
+  this->self.engine_pace =
+      static_cast<std::uint64_t>(state.engine_pace * kHundred);
   this->self.in_flight.clear();
   for (const auto& [endpoint, count] : state.in_flight) {
     if (count > 0)
@@ -40,7 +54,7 @@
   const auto found = this->peers.find(state.node);
   if (found == this->peers.end()) {
     this->peers[state.node] = Known{state, now};
-    this->SumInFlight(now);
+    this->Summarize(now);
     return true;
   }
   Known& known = found->second;
@@ -51,7 +65,7 @@
   if (!same_life && !direct && this->IsLive(known, now)) return false;
   const bool says_more = SaysMore(known.state, state);
   known = Known{state, now};
-  this->SumInFlight(now);
+  this->Summarize(now);
   return says_more;
 }
 
@@ -63,7 +77,7 @@
     const bool expired = now - it->second.heard_at > memory;
     it = expired ? this->peers.erase(it) : std::next(it);
   }
-  this->SumInFlight(now);
+  this->Summarize(now);
 }
 
 bool PeerTable::IsLive(const Known& known, kernel::TimePoint now) const {
@@ -142,9 +156,16 @@
   return chosen;
 }
 
-void PeerTable::SumInFlight(kernel::TimePoint now) {
+void PeerTable::Summarize(kernel::TimePoint now) {
   this->in_flight.clear();
+  this->paces.clear();
   for (const auto& entry : this->peers) {
+    const double pace =
+        static_cast<double>(entry.second.state.engine_pace) / kHundred;
+    const bool recent =
+        now - entry.second.heard_at <= this->limits.pace_memory;
+    if (recent && pace > kUsualPace)
+      this->paces[entry.second.state.engine_address] = pace;
     if (!this->IsLive(entry.second, now)) continue;
     for (const std::string& count : entry.second.state.in_flight) {
       const std::size_t equals = count.rfind('=');
@@ -156,6 +177,11 @@
   }
 }
 
+double PeerTable::PaceOf(const std::string& engine_address) const {
+  const auto found = this->paces.find(engine_address);
+  return found == this->paces.end() ? 1 : found->second;
+}
+
 std::int64_t PeerTable::InFlightElsewhere(const std::string& endpoint) const {
   const auto found = this->in_flight.find(endpoint);
   return found == this->in_flight.end() ? 0 : found->second;
--- a/src/peers/internal/peer_table.h
+++ b/src/peers/internal/peer_table.h
@@ -17,6 +17,8 @@
   /// A peer that has made no statement for this long is not live: five of its
   /// periods.
   kernel::Millis silence{2'500};
+  /// What a rank agent tells of its engine's pace holds for this long.
+  kernel::Millis pace_memory{20'000};
   /// A gateway that is not live is forgotten after this.
   kernel::Millis gateway_memory{30'000};
   /// Rank agents are heard of only when something changes, and must be found by
@@ -59,6 +61,9 @@
       const std::vector<std::string>& seeds,
       const std::vector<std::string>& wanted) const;
 
+  /// Returns what a live rank agent tells of its engine's pace, or 1.
+  double PaceOf(const std::string& engine_address) const;
+
   /// Returns the requests that live peers have at `endpoint`.
   std::int64_t InFlightElsewhere(const std::string& endpoint) const;
 
@@ -71,12 +76,13 @@
   static Peer ToPeer(const link::PeerState& state);
   bool IsLive(const Known& known, kernel::TimePoint now) const;
   std::vector<std::string> ChosenGateways() const;
-  void SumInFlight(kernel::TimePoint now);
+  void Summarize(kernel::TimePoint now);
 
   link::PeerState self;
   PeerLimits limits;
   std::map<std::string, Known> peers;  ///< By node.
   std::unordered_map<std::string, std::int64_t> in_flight;
+  std::unordered_map<std::string, double> paces;  ///< Where not usual.
 };
 
 }  // namespace banyanlane::peers
