--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -15,8 +15,7 @@
 #include "http/i_http_runtime.h"
 #include "kernel/event_log.h"
 
-ABSL_FLAG(std::string, settings, "",
-          "INI file with the settings of the role");
+ABSL_FLAG(std::string, settings, "", "INI file with the settings of the role");
 ABSL_FLAG(std::string, profile, "", "profile, for explain");
 ABSL_FLAG(std::string, prefix, "", "text of the first message, for explain");
 
@@ -55,10 +54,13 @@
     std::cerr << "banyanlane: --settings=FILE is required\n";
     return kExitUsage;
   }
+  kernel::StartLog();
   auto assembled = RoleProcess::Assemble(role, path);
   if (const kernel::Error* error = kernel::ErrorOf(assembled))
     return Fail(*error);
-  return std::get<0>(assembled)->Run();
+  const int status = std::get<0>(assembled)->Run();
+  kernel::StopLog();
+  return status;
 }
 
 int CheckConfig(const std::string& path) {
--- a/src/app/role_process.cc
+++ b/src/app/role_process.cc
@@ -32,9 +32,8 @@
   auto settings =
       kernel::Settings::Load(settings_path, registry.SchemaOf(role));
   if (const kernel::Error* error = kernel::ErrorOf(settings)) return *error;
-  std::unique_ptr<RoleProcess> process(
-      new RoleProcess(role, settings_path,
-                      std::get<kernel::Settings>(std::move(settings))));
+  std::unique_ptr<RoleProcess> process(new RoleProcess(
+      role, settings_path, std::get<kernel::Settings>(std::move(settings))));
   for (const auto& entry : registry.ModulesOf(role))
     process->modules.push_back(entry.factory());
   for (const auto& module : process->modules) module->Export(process->context);
--- a/src/app/role_process.h
+++ b/src/app/role_process.h
@@ -25,8 +25,9 @@
  private:
   RoleProcess(kernel::Role role, const std::string& settings_path,
               kernel::Settings settings)
-      : role(role), settings_file(settings_path), context(std::move(settings)) {
-  }
+      : role(role),
+        settings_file(settings_path),
+        context(std::move(settings)) {}
 
   /// Reloads until told to stop. @return the signal that said so.
   int WaitForStop(const sigset_t& signals);
--- a/src/app/tests/docs_test.cc
+++ b/src/app/tests/docs_test.cc
@@ -46,8 +46,8 @@
     cr_assert_neq(start, std::string::npos, "%s", name.c_str());
     const std::string part =
         text.substr(start, text.find("\n## ", start) - start);
-    const auto schema = kernel::ModuleRegistry::Instance().SchemaOf(
-        *kernel::ParseRole(name));
+    const auto schema =
+        kernel::ModuleRegistry::Instance().SchemaOf(*kernel::ParseRole(name));
     for (const kernel::SettingField& field : schema) {
       const std::string line = "| [" + field.section + "] " + field.key +
                                " | " +
--- a/src/catalog/catalog_module.cc
+++ b/src/catalog/catalog_module.cc
@@ -14,7 +14,6 @@
 namespace {
 
 using kernel::Role;
-using kernel::SettingKind;
 
 /// How often pauses are checked for their end.
 constexpr kernel::Millis kTickPeriod{50};
@@ -195,18 +194,14 @@
 };
 
 const kernel::ModuleRegistration kSampleRegistration(
-    {"catalog_sample",
-     {Role::kRank},
-     kernel::StartOrder::kService,
-     {},
-     [] { return std::make_unique<SampleModule>(); }});
+    {"catalog_sample", {Role::kRank}, kernel::StartOrder::kService, {}, [] {
+       return std::make_unique<SampleModule>();
+     }});
 
 const kernel::ModuleRegistration kRegistration(
-    {"catalog",
-     {Role::kGateway},
-     kernel::StartOrder::kService,
-     {},
-     [] { return std::make_unique<CatalogModule>(); }});
+    {"catalog", {Role::kGateway}, kernel::StartOrder::kService, {}, [] {
+       return std::make_unique<CatalogModule>();
+     }});
 
 }  // namespace
 }  // namespace banyanlane::catalog
--- a/src/catalog/i_catalog.h
+++ b/src/catalog/i_catalog.h
@@ -49,9 +49,10 @@
   virtual ~ICatalog() = default;
 
   /// Reads the items under `prefix` whose keys come after `after_key`.
-  virtual std::shared_ptr<ICatalogCall> ReadPage(
-      const std::string& prefix, const std::string& after_key,
-      kernel::Millis timeout, Receiver receive) = 0;
+  virtual std::shared_ptr<ICatalogCall> ReadPage(const std::string& prefix,
+                                                 const std::string& after_key,
+                                                 kernel::Millis timeout,
+                                                 Receiver receive) = 0;
 
   /// Waits up to `wait` for changes under `prefix` later than
   /// `after_revision`. @param timeout bound on the whole call.
--- a/src/catalog/i_catalog_reader.h
+++ b/src/catalog/i_catalog_reader.h
@@ -36,9 +36,9 @@
 /// How long the store is waited for, and how endpoints are judged after it
 /// was away.
 struct CatalogLimits {
-  kernel::Millis watch{8'000};        ///< Longest wait of one watch.
-  kernel::Millis answer{1'500};       ///< Bound on an answer beyond the wait.
-  kernel::Millis first_pause{100};    ///< After one failure.
+  kernel::Millis watch{8'000};          ///< Longest wait of one watch.
+  kernel::Millis answer{1'500};         ///< Bound on an answer beyond the wait.
+  kernel::Millis first_pause{100};      ///< After one failure.
   kernel::Millis longest_pause{1'500};  ///< After many failures in a row.
   /// Entries of endpoints lapse after this long without a sign of life, so an
   /// outage from here on can remove endpoints that are up.
--- a/src/catalog/internal/catalog_follower.cc
+++ b/src/catalog/internal/catalog_follower.cc
@@ -43,8 +43,7 @@
                                         : this->TakeChanges(page, now);
 }
 
-bool CatalogFollower::TakePage(const CatalogPage& page,
-                               kernel::TimePoint now) {
+bool CatalogFollower::TakePage(const CatalogPage& page, kernel::TimePoint now) {
   if (this->load_revision == 0) this->load_revision = page.revision;
   bool changed = false;
   for (const CatalogItem& item : page.items) {
--- a/src/catalog/internal/catalog_follower.h
+++ b/src/catalog/internal/catalog_follower.h
@@ -28,7 +28,8 @@
 /// All items at one moment.
 struct CatalogSnapshot {
   std::vector<CatalogItem> items;
-  std::uint64_t version = 0;  ///< Higher for what is known from later revisions.
+  std::uint64_t version =
+      0;  ///< Higher for what is known from later revisions.
 };
 
 /// Keeps a copy of all items under one prefix. I/O-free; not thread-safe.
--- a/src/catalog/internal/follower_driver.cc
+++ b/src/catalog/internal/follower_driver.cc
@@ -93,11 +93,10 @@
     return;
   }
   const auto* error = std::get_if<kernel::Error>(&answer);
-  kernel::LogEvent(
-      kernel::EventId::kPlatformUnreachable,
-      {{"what", this->prefix},
-       {"reason", error != nullptr ? kernel::Describe(*error)
-                                   : "its revision went back"}});
+  kernel::LogEvent(kernel::EventId::kPlatformUnreachable,
+                   {{"what", this->prefix},
+                    {"reason", error != nullptr ? kernel::Describe(*error)
+                                                : "its revision went back"}});
 }
 
 }  // namespace banyanlane::catalog
--- a/src/catalog/internal/follower_driver.h
+++ b/src/catalog/internal/follower_driver.h
@@ -40,9 +40,9 @@
   std::mutex mutex;
   CatalogFollower follower;
   std::shared_ptr<ICatalogCall> call;
-  std::uint64_t calls = 0;     ///< Number of the call under way.
+  std::uint64_t calls = 0;  ///< Number of the call under way.
   bool under_way = false;
-  bool watching = false;       ///< The call under way is a watch.
+  bool watching = false;  ///< The call under way is a watch.
   kernel::TimePoint renewed_at;
   bool stopped = false;
 };
--- a/src/catalog/tests/catalog_follower_test.cc
+++ b/src/catalog/tests/catalog_follower_test.cc
@@ -87,21 +87,21 @@
     follower.OnAnswer(Failure(), now);
     const auto until = std::get<PauseStep>(follower.Next(now)).until;
     longest = std::max(longest, until - now);
-    cr_assert_leq((until - now).count(),
-                  kernel::Clock::duration(CatalogLimits{}.longest_pause).count());
+    cr_assert_leq(
+        (until - now).count(),
+        kernel::Clock::duration(CatalogLimits{}.longest_pause).count());
     now = until;
   }
-  cr_assert_geq(longest.count(),
-                kernel::Clock::duration(CatalogLimits{}.longest_pause).count() /
-                    2);
+  cr_assert_geq(
+      longest.count(),
+      kernel::Clock::duration(CatalogLimits{}.longest_pause).count() / 2);
 }
 
 Test(catalog_follower, keeps_lapsed_items_for_a_while_after_an_outage) {
   CatalogFollower follower = Loaded();
   const TimePoint back = kStart + Millis(10'000);
   follower.OnAnswer(Failure(), back - Millis(1'000));
-  follower.OnAnswer(
-      PageOf(20, {Removal("a", 18), Removal("b", 19)}), back);
+  follower.OnAnswer(PageOf(20, {Removal("a", 18), Removal("b", 19)}), back);
   cr_assert_eq(TextOf(follower), "a=1 b=1 ");
   cr_assert(follower.OnAnswer(PageOf(21, {Item("a", "1", 21)}), back));
   const auto before = follower.Snapshot().version;
@@ -118,8 +118,8 @@
 Test(catalog_follower, drops_removed_items_at_once_without_an_outage) {
   CatalogFollower follower = Loaded();
   follower.OnAnswer(Failure(), kStart + Millis(100));
-  cr_assert(follower.OnAnswer(PageOf(20, {Removal("a", 18)}),
-                              kStart + Millis(300)));
+  cr_assert(
+      follower.OnAnswer(PageOf(20, {Removal("a", 18)}), kStart + Millis(300)));
   cr_assert_eq(TextOf(follower), "b=1 ");
 }
 
--- a/src/config/config_module.cc
+++ b/src/config/config_module.cc
@@ -29,8 +29,7 @@
     const auto membership = context.Resolve<membership::IMembership>();
     const auto relay = std::make_shared<ConfigRelay>(
         store, membership,
-        kernel::Millis(
-            context.settings().Integer("platform", "patience_ms")));
+        kernel::Millis(context.settings().Integer("platform", "patience_ms")));
     store->Subscribe(
         [relay](const ConfigPtr& config) { relay->AnnounceConfig(config); });
     membership->Subscribe(
--- a/src/config/internal/config_relay.cc
+++ b/src/config/internal/config_relay.cc
@@ -59,7 +59,8 @@
                                  kernel::TimePoint now) {
   const ConfigPtr current = this->store->Current();
   const std::uint64_t have = current ? current->revision : 0;
-  if (revision > have && this->BeginPull(this->config_pull, have, revision, now)) {
+  if (revision > have &&
+      this->BeginPull(this->config_pull, have, revision, now)) {
     link->Send(link::ConfigPull{have});
   }
 }
--- a/src/config/internal/config_store.cc
+++ b/src/config/internal/config_store.cc
@@ -33,9 +33,8 @@
   if (offer.digest != kernel::Digest(offer.value)) {
     return this->Refuse(offer, source, "digest does not match the value");
   }
-  auto parsed =
-      this->format->Parse(offer.value,
-                          "revision " + std::to_string(offer.revision));
+  auto parsed = this->format->Parse(
+      offer.value, "revision " + std::to_string(offer.revision));
   if (const kernel::Error* error = kernel::ErrorOf(parsed)) {
     return this->Refuse(offer, source, error->detail);
   }
--- a/src/config/profile.h
+++ b/src/config/profile.h
@@ -52,11 +52,11 @@
       0;  ///< Output ahead of the caller before a pause.
 
   // Only gateways use the rest.
-  std::string host;  ///< Host that callers name; any when empty.
+  std::string host;                 ///< Host that callers name; any when empty.
   std::vector<ServiceShare> split;  ///< Replaces `service` when not empty.
   bool streaming = false;           ///< The answer is a series of events.
-  bool resumable = false;   ///< A stream can go on at another endpoint.
-  bool needs_key = false;   ///< Callers show an organisation's key.
+  bool resumable = false;           ///< A stream can go on at another endpoint.
+  bool needs_key = false;           ///< Callers show an organisation's key.
   std::int64_t goal_ms = 0;  ///< An answer in this time has its full worth.
   std::int64_t urgency = 0;  ///< 0 comes first.
 };
@@ -69,7 +69,7 @@
 
 /// What callers may send, and how long they may take.
 struct CallerLimits {
-  std::int64_t header_bytes = 16 * 1024;
+  std::int64_t header_bytes = std::int64_t{16} * 1024;
   std::int64_t body_bytes = std::int64_t{4} * 1024 * 1024;
   std::int64_t header_timeout_ms = 10'000;
   std::int64_t idle_timeout_ms = 60'000;
@@ -85,7 +85,7 @@
 /// Bounds of the expert maps of a service's groups.
 struct ExpertBounds {
   std::int64_t places = 0;  ///< Experts that a rank can hold in a layer.
-  std::int64_t spare = 0;   ///< Experts new to a rank in a layer, in one change.
+  std::int64_t spare = 0;  ///< Experts new to a rank in a layer, in one change.
 };
 
 /// One checked revision of the configuration. Never changed once made.
--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -70,8 +70,8 @@
   static GatewaySettings ReadSettings(const kernel::Settings& settings) {
     GatewaySettings read;
     const auto millis = [&settings](const char* key, double unit_ms = 1) {
-      return kernel::Millis(static_cast<std::int64_t>(
-          settings.Number("gateway", key) * unit_ms));
+      return kernel::Millis(
+          static_cast<std::int64_t>(settings.Number("gateway", key) * unit_ms));
     };
     read.caller_address = settings.Text("gateway", "address");
     read.failure_domain = settings.Text("node", "failure_domain");
--- a/src/direct/i_caller_protocol.h
+++ b/src/direct/i_caller_protocol.h
@@ -36,7 +36,7 @@
   bool not_run = false;
   /// Another endpoint has the address now.
   bool wrong_endpoint = false;
-  bool is_signed = false;  ///< Carries the proof that an endpoint made it.
+  bool is_signed = false;   ///< Carries the proof that an endpoint made it.
   bool is_encoded = false;  ///< The body is not in the form it was asked for.
   std::string request_id;   ///< Of the request that it answers, or "".
   http::Headers headers;    ///< To be passed on.
@@ -58,10 +58,9 @@
 
   /// Returns the answer to a caller whose request is given up on.
   /// @param retry_after_ms when the caller may come back; negative: not said.
-  virtual http::HttpResponse WriteRefusal(int status, const std::string& reason,
-                                          std::int64_t retry_after_ms,
-                                          const std::string& request_id)
-      const = 0;
+  virtual http::HttpResponse WriteRefusal(
+      int status, const std::string& reason, std::int64_t retry_after_ms,
+      const std::string& request_id) const = 0;
 };
 
 }  // namespace banyanlane::direct
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -64,6 +64,9 @@
   if (!choice) return false;
   this->context.line.OnServed(this->request.service, now);
   this->endpoint = choice;
+  this->last_endpoint = choice->id;
+  if (this->attempt == 0)
+    this->waited_ms = kernel::MillisBetween(this->arrived, now);
   this->tried.insert(choice->id);
   ++this->attempt;
   ++this->sent;
@@ -115,9 +118,8 @@
 
 kernel::Millis DirectFlow::LongestWait(kernel::TimePoint now) const {
   const DirectLimits& limits = this->context.limits;
-  const auto part = kernel::Millis(
-      static_cast<std::int64_t>(static_cast<double>(this->MillisLeft(now)) *
-                                limits.longest_wait_part));
+  const auto part = kernel::Millis(static_cast<std::int64_t>(
+      static_cast<double>(this->MillisLeft(now)) * limits.longest_wait_part));
   return this->request.profile->streaming
              ? std::min(part, limits.longest_stream_wait)
              : part;
@@ -423,6 +425,9 @@
               {"profile", this->request.profile->name},
               {"outcome", std::string(outcome)},
               {"sent", std::to_string(this->sent)},
+              {"endpoint", this->last_endpoint},
+              {"waited_ms", std::to_string(this->waited_ms)},
+              {"organisation", this->request.organisation},
               {"revision", std::to_string(this->request.config->revision)}}});
 }
 
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -132,6 +132,8 @@
   std::uint64_t ticket = 0;  ///< In the waiting line.
 
   std::optional<EndpointChoice> endpoint;  ///< Of the current attempt.
+  std::string last_endpoint;               ///< Id of the endpoint tried last.
+  std::int64_t waited_ms = 0;  ///< For room, before the first sending.
   std::uint64_t attempt = 0;
   std::set<std::string> tried;
   std::int64_t sent = 0;  ///< Sendings that an endpoint may have received.
@@ -139,8 +141,8 @@
   int unreachable = 0;
   bool may_have_run = false;
 
-  AnswerHead head;      ///< Of the current attempt.
-  std::string body;     ///< Collected of the current attempt.
+  AnswerHead head;   ///< Of the current attempt.
+  std::string body;  ///< Collected of the current attempt.
   EventSplitter splitter;
   std::optional<std::uint64_t> last_event;  ///< That the caller has.
   bool streaming = false;  ///< The caller has the head of a stream.
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -100,13 +100,11 @@
 std::string DirectService::DrawService(const config::Profile& profile) {
   if (profile.split.empty()) return profile.service;
   std::int64_t total = 0;
-  for (const config::ServiceShare& share : profile.split)
-    total += share.weight;
+  for (const config::ServiceShare& share : profile.split) total += share.weight;
   if (total <= 0) return profile.split.front().service;
   // Consecutive seeds hash to numbers that are spread evenly.
-  const std::uint64_t number =
-      kernel::Hash64(profile.name, ++this->seeds) %
-      static_cast<std::uint64_t>(total);
+  const std::uint64_t number = kernel::Hash64(profile.name, ++this->seeds) %
+                               static_cast<std::uint64_t>(total);
   auto drawn = static_cast<std::int64_t>(number);
   for (const config::ServiceShare& share : profile.split) {
     drawn -= share.weight;
@@ -123,8 +121,8 @@
     return Rejection{kUnavailable, "not_ready", kNotServingRetryMillis};
   const auto leaving = this->LeavingSince();
   const bool too_late =
-      leaving && now - *leaving > this->settings.grace - kGraceMargin -
-                                      kLastRequestTime;
+      leaving &&
+      now - *leaving > this->settings.grace - kGraceMargin - kLastRequestTime;
   if (too_late) return Rejection{kUnavailable, "leaving", 0};
   DirectWork work;
   work.config = table->config();
@@ -169,17 +167,15 @@
                    {{"request", request_id},
                     {"status", std::to_string(rejection.status)},
                     {"reason", rejection.reason}});
-  exchange.Reply(this->protocol->WriteRefusal(
-      rejection.status, rejection.reason, rejection.retry_after_ms,
-      request_id));
+  exchange.Reply(
+      this->protocol->WriteRefusal(rejection.status, rejection.reason,
+                                   rejection.retry_after_ms, request_id));
 }
 
 void DirectService::Run(http::IHttpExchange& exchange, DirectWork work) {
   const auto begun = kernel::Clock::now();
   const std::uint64_t number = ++this->seeds;
-  const DirectContext context{this->pool,
-                              this->retries,
-                              this->line,
+  const DirectContext context{this->pool, this->retries, this->line,
                               this->peers->Live(begun).size() + 1,
                               this->settings.limits};
   DirectRunner::Environment environment;
@@ -219,8 +215,8 @@
   this->metrics->ObserveMillis("banyanlane_request_millis", took.count());
 }
 
-bool DirectService::Deliver(http::IHttpExchange& exchange,
-                            DirectRunner& runner, DirectActions actions) {
+bool DirectService::Deliver(http::IHttpExchange& exchange, DirectRunner& runner,
+                            DirectActions actions) {
   for (DirectAction& action : actions) {
     bool taken = true;
     if (auto* whole = std::get_if<PassAnswer>(&action)) {
--- a/src/direct/internal/direct_work.h
+++ b/src/direct/internal/direct_work.h
@@ -16,7 +16,7 @@
   std::string service;  ///< Drawn from the profile's split.
   std::string request_id;
   std::string organisation;
-  std::int64_t urgency = 0;  ///< 0 comes first.
+  std::int64_t urgency = 0;      ///< 0 comes first.
   std::int64_t deadline_ms = 0;  ///< The caller's, from the arrival.
   std::optional<std::uint64_t> last_event_id;
   http::HttpRequest message;
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -104,8 +104,8 @@
   // where they run in lock-step.
   const double slots = static_cast<double>(this->SlotsOf(endpoint)) /
                        std::max(1.0, this->pace_of(endpoint.instance.address));
-  const auto taken = static_cast<double>(
-      endpoint.in_flight + this->elsewhere(endpoint.instance.id));
+  const auto taken = static_cast<double>(endpoint.in_flight +
+                                         this->elsewhere(endpoint.instance.id));
   const double most = std::ceil(slots * (1 + this->limits.waiting_part));
   if (taken >= most) return std::nullopt;
   const bool far = endpoint.instance.failure_domain != this->failure_domain;
@@ -197,8 +197,8 @@
                       result == AttemptResult::kFailed ||
                       result == AttemptResult::kReplaced;
   if (failed || result == AttemptResult::kAnswered) {
-    endpoint.failing += kFailureWeight * ((failed ? 1.0 : 0.0) -
-                                          endpoint.failing);
+    endpoint.failing +=
+        kFailureWeight * ((failed ? 1.0 : 0.0) - endpoint.failing);
   }
   if (failed && result != AttemptResult::kFailed)
     this->OnFailure(endpoint, now);
@@ -252,16 +252,20 @@
   for (const auto& [name, service] : this->services) {
     const std::lock_guard<std::mutex> service_lock(service->mutex);
     for (const auto& [id, endpoint] : service->endpoints) {
-      lines.push_back(
-          id + " service=" + name + " address=" + endpoint.instance.address +
-          " state=" +
-          std::string(
-              membership::InstanceStateName(endpoint.instance.state)) +
-          " listed=" + (endpoint.listed ? "yes" : "no") +
-          " in_flight=" + std::to_string(endpoint.in_flight) +
-          " elsewhere=" + std::to_string(this->elsewhere(id)) +
-          " slots=" + std::to_string(this->SlotsOf(endpoint)) +
-          " ejected=" + (now < endpoint.ejected_until ? "yes" : "no"));
+      std::string line = id;
+      const auto add = [&line](std::string_view name, std::string_view value) {
+        line.append(" ").append(name).append("=").append(value);
+      };
+      add("service", name);
+      add("address", endpoint.instance.address);
+      add("state", membership::InstanceStateName(endpoint.instance.state));
+      add("listed", endpoint.listed ? "yes" : "no");
+      add("in_flight", std::to_string(endpoint.in_flight));
+      add("elsewhere", std::to_string(this->elsewhere(id)));
+      add("slots", std::to_string(this->SlotsOf(endpoint)));
+      add("pace", std::to_string(this->pace_of(endpoint.instance.address)));
+      add("ejected", now < endpoint.ejected_until ? "yes" : "no");
+      lines.push_back(std::move(line));
     }
   }
   return lines;
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -48,8 +48,8 @@
   double distance_penalty = 0.15;
   /// Added to the load of an endpoint whose recent answers all failed.
   double failure_penalty = 1.0;
-  kernel::Millis full_pause{200};       ///< No work after a refusal.
-  kernel::Millis first_ejection{500};   ///< No work after a failure.
+  kernel::Millis full_pause{200};      ///< No work after a refusal.
+  kernel::Millis first_ejection{500};  ///< No work after a failure.
   kernel::Millis longest_ejection{4'000};
   /// An endpoint whose address another one had is tried again after this, if
   /// the list still names it.
@@ -70,8 +70,7 @@
   using PaceOf = std::function<double(const std::string&)>;
 
   EndpointPool(std::string failure_domain, const PoolLimits& limits,
-               std::uint64_t seed, InFlightElsewhere elsewhere,
-               PaceOf pace_of);
+               std::uint64_t seed, InFlightElsewhere elsewhere, PaceOf pace_of);
 
   /// Takes over a new list. Counts of endpoints that stay are kept.
   void OnInstances(const membership::InstanceList& list);
--- a/src/direct/internal/retry_allowance.h
+++ b/src/direct/internal/retry_allowance.h
@@ -12,9 +12,9 @@
 
 /// Bound on sendings beyond the first, over all gateways together.
 struct RetryLimits {
-  double ratio = 0.2;             ///< Of the requests in the window.
+  double ratio = 0.2;  ///< Of the requests in the window.
   kernel::Millis window{10'000};
-  std::int64_t slack = 0;         ///< Allowed besides, over all gateways.
+  std::int64_t slack = 0;  ///< Allowed besides, over all gateways.
   /// Part of the bound that is used: the windows of the gateways and of those
   /// who count differ by their moments.
   double used_part = 0.75;
--- a/src/direct/internal/route_table.h
+++ b/src/direct/internal/route_table.h
@@ -23,8 +23,8 @@
  private:
   config::ConfigPtr snapshot;
   /// By host, then by path prefix.
-  std::unordered_map<
-      std::string, std::unordered_map<std::string, const config::Profile*>>
+  std::unordered_map<std::string,
+                     std::unordered_map<std::string, const config::Profile*>>
       by_host;
 };
 
--- a/src/direct/internal/waiting_line.cc
+++ b/src/direct/internal/waiting_line.cc
@@ -16,9 +16,9 @@
   const std::lock_guard<std::mutex> lock(this->mutex);
   Line& line = this->lines[service];
   const auto behind = line.waiting.upper_bound({urgency, this->last_ticket});
-  const auto ahead = std::count_if(
-      line.waiting.begin(), behind,
-      [now](const auto& entry) { return entry.second > now; });
+  const auto ahead =
+      std::count_if(line.waiting.begin(), behind,
+                    [now](const auto& entry) { return entry.second > now; });
   if (ahead == 0) return kernel::Millis{0};
   const bool stale = now - line.counted_at > 2 * kRateSpan;
   if (line.served_per_second <= 0 || stale) return std::nullopt;
@@ -48,8 +48,8 @@
   const auto span = now - line.counted_at;
   if (span < kRateSpan) return;
   const double seconds =
-      std::chrono::duration<double>(std::min<kernel::Clock::duration>(
-                                        span, 2 * kRateSpan))
+      std::chrono::duration<double>(
+          std::min<kernel::Clock::duration>(span, 2 * kRateSpan))
           .count();
   line.served_per_second = static_cast<double>(line.served) / seconds;
   line.served = 0;
--- a/src/direct/tests/direct_flow_test.cc
+++ b/src/direct/tests/direct_flow_test.cc
@@ -54,8 +54,9 @@
  public:
   World(bool streaming, bool repeatable, int endpoints = 3,
         RetryLimits retry_limits = {0.2, Millis(10'000), 100, 1.0})
-      : pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; },
-                    [](const std::string&) { return 1.0; }),
+      : pool(
+            "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+            [](const std::string&) { return 1.0; }),
         retries(retry_limits, TimePoint{}) {
     this->pool.OnInstances(ListOf(endpoints));
     auto snapshot = std::make_shared<config::ConfigSnapshot>();
@@ -190,7 +191,8 @@
   world.Do(world.flow->OnFailed(1, SendState::kMaybeSent, kStart));
   cr_assert_eq(*world.Last<CallEndpoint>()->terms.last_event_id, 1);
   world.Do(world.flow->OnHead(2, HeadOf(200), kStart));
-  world.Do(world.flow->OnData(2, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", kStart));
+  world.Do(
+      world.flow->OnData(2, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", kStart));
   world.Do(world.flow->OnEnd(2, kStart));
   cr_assert_eq(world.Passed(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   cr_assert_eq(world.Count<PassHead>(), 1);
@@ -308,8 +310,9 @@
 }
 
 Test(endpoint_pool, leaves_a_replaced_endpoint_alone_until_listed_anew) {
-  EndpointPool pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; },
-                    [](const std::string&) { return 1.0; });
+  EndpointPool pool(
+      "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+      [](const std::string&) { return 1.0; });
   pool.OnInstances(ListOf(1));
   const auto choice = pool.Choose("model", {}, kStart);
   pool.Release(*choice, AttemptResult::kReplaced, kStart);
@@ -321,8 +324,9 @@
 }
 
 Test(endpoint_pool, gives_no_work_to_a_leaving_endpoint) {
-  EndpointPool pool("a", PoolLimits{}, 1, [](const std::string&) { return 0; },
-                    [](const std::string&) { return 1.0; });
+  EndpointPool pool(
+      "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+      [](const std::string&) { return 1.0; });
   auto list = ListOf(2);
   list.instances[0].state = membership::InstanceState::kLeaving;
   pool.OnInstances(list);
--- a/src/experts/experts_module.cc
+++ b/src/experts/experts_module.cc
@@ -27,9 +27,8 @@
     this->runtime = context.Resolve<http::IHttpRuntime>();
     this->service = std::make_shared<RankService>(
         settings.Text("node", "id"), settings.Text("rank", "engine"),
-        RankServiceLimits{}, GroupLeadLimits{},
-        context.Resolve<IRankEngine>(), context.Resolve<peers::IPeers>(),
-        kernel::Hash64(kernel::RandomId()));
+        RankServiceLimits{}, GroupLeadLimits{}, context.Resolve<IRankEngine>(),
+        context.Resolve<peers::IPeers>(), kernel::Hash64(kernel::RandomId()));
     context.Resolve<link::ILinkHub>()->Subscribe(this->service);
     const std::string served = settings.Text("rank", "service");
     context.Resolve<config::IConfigStore>()->Subscribe(
--- a/src/experts/i_rank_engine.h
+++ b/src/experts/i_rank_engine.h
@@ -30,9 +30,9 @@
   std::string group;
   std::uint64_t epoch = 0;  ///< Of the group's forming.
   std::uint64_t rank = 0;
-  std::uint64_t size = 0;   ///< Ranks of the group.
+  std::uint64_t size = 0;  ///< Ranks of the group.
   bool open = false;
-  std::uint64_t step = 0;   ///< Last pass that was begun.
+  std::uint64_t step = 0;  ///< Last pass that was begun.
   std::uint64_t map_version = 0;
   std::optional<std::uint64_t> prepared;  ///< Its weights are complete.
   std::optional<ArmedMap> armed;
@@ -75,8 +75,8 @@
 struct ReleaseOrder {
   std::uint64_t step = 0;
 };
-using RankOrder = std::variant<PrepareOrder, ArmOrder, DisarmOrder, HoldOrder,
-                               ReleaseOrder>;
+using RankOrder =
+    std::variant<PrepareOrder, ArmOrder, DisarmOrder, HoldOrder, ReleaseOrder>;
 
 /// What came of an order. Only the engine's next report tells its state.
 enum class OrderOutcome {
--- a/src/experts/internal/demand_window.cc
+++ b/src/experts/internal/demand_window.cc
@@ -68,9 +68,9 @@
   this->compared_at = now;
   const double distance = this->Distance();
   const bool learned = this->usual_distance > 0;
-  const bool broken = learned && distance > this->limits.least_break &&
-                      distance > this->usual_distance *
-                                     this->limits.break_factor;
+  const bool broken =
+      learned && distance > this->limits.least_break &&
+      distance > this->usual_distance * this->limits.break_factor;
   if (broken) {
     this->slow = this->fast;
     return;
--- a/src/experts/internal/even_planner.cc
+++ b/src/experts/internal/even_planner.cc
@@ -317,6 +317,7 @@
     layers.emplace_back(current[layer], load[layer], paces, this->bounds,
                         copies);
   std::vector<Change> best;
+  best.reserve(layers.size());
   for (const LayerSearch& layer : layers)
     best.push_back(layer.Best(this->least_gain));
   // The copies of a rank are shared by the layers: the change that saves most
--- a/src/experts/internal/group_lead.cc
+++ b/src/experts/internal/group_lead.cc
@@ -19,7 +19,8 @@
 constexpr double kLeastGainOfChange = 0.015;
 constexpr double kStepWeightOfNew = 0.3;
 constexpr double kHundred = 100;
-/// Ranks below this pace are planned for as usual, so that jitter moves nothing.
+/// Ranks below this pace are planned for as usual, so that jitter moves
+/// nothing.
 constexpr double kUsualPace = 1.2;
 constexpr double kArmWeightOfNew = 0.4;
 constexpr kernel::Millis kStepSpan{250};
@@ -105,7 +106,8 @@
 RankPaces GroupLead::Paces() const {
   RankPaces paces;
   for (const auto& entry : this->ranks) {
-    const double pace = static_cast<double>(entry.second.status.pace) / kHundred;
+    const double pace =
+        static_cast<double>(entry.second.status.pace) / kHundred;
     paces.push_back(pace > kUsualPace ? pace : 1.0);
   }
   return paces;
@@ -207,9 +209,9 @@
 
 void GroupLead::RaiseFence() {
   constexpr std::uint64_t kFencesPerAttempt = 2;
-  this->fence = (this->highest_fence / kFencesPerAttempt + 1 +
-                 this->Random(kChance)) *
-                kFencesPerAttempt;
+  this->fence =
+      (this->highest_fence / kFencesPerAttempt + 1 + this->Random(kChance)) *
+      kFencesPerAttempt;
   this->highest_fence = this->fence;
   this->number = 0;
   this->must_send = true;
@@ -246,8 +248,8 @@
     this->Enter(Stage::kPreparing, now);
     return;
   }
-  const bool is_held = this->Any(
-      [](const RankStatus& status) { return status.held_step != 0; });
+  const bool is_held =
+      this->Any([](const RankStatus& status) { return status.held_step != 0; });
   if (is_held) {
     // Whether the other lead released the group can't be known, so nothing is
     // armed any more before all ranks have made its change impossible.
@@ -261,8 +263,8 @@
 void GroupLead::ChooseStep(std::uint64_t own_rank, kernel::TimePoint now) {
   // Arming that outlasts the lead holds the group up; a longer lead keeps it
   // on the old map for longer.
-  const auto lead = static_cast<std::uint64_t>(this->arm_ms /
-                                               std::max(1.0, this->step_ms));
+  const auto lead =
+      static_cast<std::uint64_t>(this->arm_ms / std::max(1.0, this->step_ms));
   const std::uint64_t reached = this->ranks.at(own_rank).status.step;
   // Never the same step twice, so that a late release of one attempt can't end
   // the next one's hold.
@@ -331,9 +333,8 @@
       }
       return;
     case Stage::kReleasing:
-      if (!this->Any([](const RankStatus& status) {
-            return status.held_step != 0;
-          })) {
+      if (!this->Any(
+              [](const RankStatus& status) { return status.held_step != 0; })) {
         this->Enter(Stage::kSettling, now);
       }
       return;
@@ -343,10 +344,9 @@
           })) {
         this->reports.emplace_back(
             EventId::kMapChanged,
-            kernel::EventFields{
-                {"group", this->group},
-                {"version", std::to_string(this->version)},
-                {"step", std::to_string(this->step)}});
+            kernel::EventFields{{"group", this->group},
+                                {"version", std::to_string(this->version)},
+                                {"step", std::to_string(this->step)}});
         this->planned.reset();
         this->next_plan = now;
         this->Enter(Stage::kWatching, now);
@@ -404,9 +404,8 @@
 }
 
 bool GroupLead::IsOutranked() const {
-  return this->Any([this](const RankStatus& status) {
-    return status.fence > this->fence;
-  });
+  return this->Any(
+      [this](const RankStatus& status) { return status.fence > this->fence; });
 }
 
 void GroupLead::GiveUp(std::string_view reason, kernel::TimePoint now) {
@@ -473,8 +472,8 @@
     this->next_plan = now + this->limits.step_down;
   }
   // An engine has refused this fence for a higher one that it has met.
-  const bool is_fenced = this->stage != Stage::kWatching &&
-                         this->highest_fence > this->fence;
+  const bool is_fenced =
+      this->stage != Stage::kWatching && this->highest_fence > this->fence;
   if (is_fenced) this->RaiseFence();
   this->Advance(own_rank, now);
   std::vector<Send> sends;
--- a/src/experts/internal/group_lead.h
+++ b/src/experts/internal/group_lead.h
@@ -155,8 +155,8 @@
   std::uint64_t fence = 0;
   std::uint64_t highest_fence = 0;
   std::uint64_t number = 0;
-  std::uint64_t version = 0;   ///< Of the map that is changed to.
-  std::uint64_t step = 0;      ///< At which it is changed to.
+  std::uint64_t version = 0;  ///< Of the map that is changed to.
+  std::uint64_t step = 0;     ///< At which it is changed to.
   ExpertMap current;
   std::optional<ExpertMap> planned;
   std::uint64_t abandon_version = 0;
--- a/src/experts/internal/rank_agent.cc
+++ b/src/experts/internal/rank_agent.cc
@@ -28,8 +28,7 @@
     this->heard_at = now;
     return true;
   }
-  const bool same_lead =
-      this->command && this->command->lead == received.lead;
+  const bool same_lead = this->command && this->command->lead == received.lead;
   const bool higher = !this->command || received.fence > this->command->fence;
   if (!higher || (!same_lead && !this->LeaseEnded(now))) return false;
   this->command = received;
@@ -109,31 +108,30 @@
     std::uint64_t version, kernel::TimePoint now) const {
   const RankReport& is = *this->report;
   const bool reached = is.prepared == version || is.map_version == version;
-  const bool copying = this->preparing == version &&
-                       now < this->ask_again_at;
+  const bool copying = this->preparing == version && now < this->ask_again_at;
   if (reached || copying) return std::nullopt;
   return PrepareOrder{version, UnflattenMap(this->command->map)};
 }
 
 void RankAgent::OnOrderOutcome(OrderOutcome outcome, kernel::TimePoint now) {
   if (outcome != OrderOutcome::kNoAnswer) this->order_sent.reset();
-  const bool accepted = outcome == OrderOutcome::kDone ||
-                        outcome == OrderOutcome::kRefused;
+  const bool accepted =
+      outcome == OrderOutcome::kDone || outcome == OrderOutcome::kRefused;
   if (accepted && this->ordered_version != 0) {
     this->refused_version =
         outcome == OrderOutcome::kRefused ? this->ordered_version : 0;
     this->preparing = this->ordered_version;
-    this->ask_again_at = now + (outcome == OrderOutcome::kDone
-                                    ? this->limits.copy
-                                    : this->limits.refused);
+    this->ask_again_at =
+        now + (outcome == OrderOutcome::kDone ? this->limits.copy
+                                              : this->limits.refused);
   }
   if (outcome != OrderOutcome::kFenced || !this->command) return;
   // The engine has met a fence that this process has not. It does not say
   // which, so the lead tries one twice as high.
   constexpr std::uint64_t kFenceStep = std::uint64_t{1} << 20U;
-  this->highest_fence =
-      std::max(this->highest_fence,
-               this->command->fence + std::max(this->command->fence, kFenceStep));
+  this->highest_fence = std::max(
+      this->highest_fence,
+      this->command->fence + std::max(this->command->fence, kFenceStep));
 }
 
 bool RankAgent::IsBusy(kernel::TimePoint now) const {
@@ -141,8 +139,7 @@
          this->command->goal != SwitchGoal::kFollow;
 }
 
-std::optional<link::RankStatus> RankAgent::Status(
-    kernel::TimePoint now) const {
+std::optional<link::RankStatus> RankAgent::Status(kernel::TimePoint now) const {
   if (!this->report) return std::nullopt;
   const RankReport& is = *this->report;
   link::RankStatus status;
--- a/src/experts/internal/rank_service.cc
+++ b/src/experts/internal/rank_service.cc
@@ -41,8 +41,7 @@
       lower_rank_seen(kernel::BootNow()) {}
 
 void RankService::Deliver(const Outbox& outbox) {
-  for (const Outgoing& outgoing : outbox)
-    outgoing.link->Send(outgoing.message);
+  for (const Outgoing& outgoing : outbox) outgoing.link->Send(outgoing.message);
 }
 
 void RankService::SetBounds(std::size_t places, std::size_t spare) {
@@ -66,9 +65,8 @@
 void RankService::OnLinkDown(const link::LinkPtr& link,
                              kernel::TimePoint /*now*/) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->links.erase(
-      std::remove(this->links.begin(), this->links.end(), link),
-      this->links.end());
+  this->links.erase(std::remove(this->links.begin(), this->links.end(), link),
+                    this->links.end());
   for (auto it = this->by_rank.begin(); it != this->by_rank.end();)
     it = it->second == link ? this->by_rank.erase(it) : std::next(it);
 }
@@ -155,18 +153,16 @@
     const bool busy = this->agent.IsBusy(now);
     this->next_report =
         now + (busy ? this->limits.busy_poll : this->limits.calm_poll);
-    this->engine->ReadReport(
-        [self](const kernel::Result<RankReport>& result) {
-          self->OnReport(result);
-        });
+    this->engine->ReadReport([self](const kernel::Result<RankReport>& result) {
+      self->OnReport(result);
+    });
   }
   if (!this->reading_counts && now >= this->next_counts) {
     this->reading_counts = true;
     this->next_counts = now + this->limits.counts_poll;
-    this->engine->ReadCounts(
-        [self](const kernel::Result<RankCounts>& result) {
-          self->OnCounts(result);
-        });
+    this->engine->ReadCounts([self](const kernel::Result<RankCounts>& result) {
+      self->OnCounts(result);
+    });
   }
 }
 
@@ -212,8 +208,7 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->reading_counts = false;
     const auto* read = std::get_if<RankCounts>(&result);
-    if (read != nullptr && this->report &&
-        read->counts != this->counts_sent) {
+    if (read != nullptr && this->report && read->counts != this->counts_sent) {
       this->SendCounts(*read, outbox, kernel::BootNow());
     }
   }
@@ -248,12 +243,11 @@
 void RankService::Act(Outbox& outbox, kernel::TimePoint now) {
   const auto order = this->agent.NextOrder(now);
   if (order) {
-    this->engine->Order(order->order, order->epoch, order->fence,
-                        RankAgentLimits{}.order,
-                        [self = this->shared_from_this()](
-                            OrderOutcome outcome) {
-                          self->OnOrderOutcome(outcome);
-                        });
+    this->engine->Order(
+        order->order, order->epoch, order->fence, RankAgentLimits{}.order,
+        [self = this->shared_from_this()](OrderOutcome outcome) {
+          self->OnOrderOutcome(outcome);
+        });
   }
   this->ReportStatus(outbox, now);
   if (this->leading) this->Lead(outbox, now);
--- a/src/experts/internal/rank_service.h
+++ b/src/experts/internal/rank_service.h
@@ -17,11 +17,11 @@
 
 /// How often a rank agent looks at its engine.
 struct RankServiceLimits {
-  kernel::Millis calm_poll{250};    ///< While no change is under way.
-  kernel::Millis busy_poll{20};     ///< While one is.
+  kernel::Millis calm_poll{250};  ///< While no change is under way.
+  kernel::Millis busy_poll{20};   ///< While one is.
   kernel::Millis counts_poll{120};
-  kernel::Millis answer{400};       ///< Bound on one read.
-  kernel::Millis publish{1'000};    ///< Statements to gateways.
+  kernel::Millis answer{400};     ///< Bound on one read.
+  kernel::Millis publish{1'000};  ///< Statements to gateways.
   /// Statements of a lead to the agents that it does not command now.
   kernel::Millis lead_statement{500};
   /// The agent of rank 0 leads when no other lead has been heard of for this
@@ -85,7 +85,7 @@
   std::mutex mutex;  ///< Of all that follows.
   RankAgent agent;
   GroupLead lead;
-  std::vector<link::LinkPtr> links;  ///< To other rank agents.
+  std::vector<link::LinkPtr> links;                ///< To other rank agents.
   std::map<std::uint64_t, link::LinkPtr> by_rank;  ///< As last heard.
   std::optional<RankReport> report;
   std::vector<std::uint64_t> counts_sent;
--- a/src/experts/tests/even_planner_test.cc
+++ b/src/experts/tests/even_planner_test.cc
@@ -93,17 +93,18 @@
   ExpertMap map = InTurn();
   for (int change = 0; change < 6; ++change)
     map = planner.Improve(map, load, paces);
-  cr_assert_lt(MapTime(map, load, paces),
-               1.5 * LeastMapTime(load, paces), "%f",
+  cr_assert_lt(MapTime(map, load, paces), 1.5 * LeastMapTime(load, paces), "%f",
                MapTime(map, load, paces) / LeastMapTime(load, paces));
 }
 
 Test(even_planner, moves_nothing_that_saves_nothing) {
   const EvenPlanner planner(kBounds, kLeastGain);
   const GroupLoad even(kLayers, LayerLoad(kExperts, 1.0));
-  cr_assert_eq(CopiesBetween(InTurn(), planner.Improve(InTurn(), even, kUsual)), 0);
+  cr_assert_eq(CopiesBetween(InTurn(), planner.Improve(InTurn(), even, kUsual)),
+               0);
   const GroupLoad none(kLayers, LayerLoad(kExperts, 0.0));
-  cr_assert_eq(CopiesBetween(InTurn(), planner.Improve(InTurn(), none, kUsual)), 0);
+  cr_assert_eq(CopiesBetween(InTurn(), planner.Improve(InTurn(), none, kUsual)),
+               0);
 }
 
 Test(map_codec, returns_what_it_wrote_and_refuses_what_is_cut) {
--- a/src/experts/tests/group_switch_test.cc
+++ b/src/experts/tests/group_switch_test.cc
@@ -120,10 +120,9 @@
   }
 
   void BeginPasses() {
-    const bool idle =
-        this->faults.idles &&
-        this->now.time_since_epoch() % std::chrono::seconds(7) <
-            std::chrono::seconds(2);
+    const bool idle = this->faults.idles &&
+                      this->now.time_since_epoch() % std::chrono::seconds(7) <
+                          std::chrono::seconds(2);
     if (this->now < this->next_pass || idle) return;
     const std::uint64_t next = this->step + 1;
     for (const Engine& engine : this->engines) {
@@ -206,8 +205,7 @@
   void DeliverMessages() {
     for (std::size_t i = 0; i < this->messages.size();) {
       const Message& message = this->messages[i];
-      const bool frozen =
-          this->now < this->processes[message.to].frozen_until;
+      const bool frozen = this->now < this->processes[message.to].frozen_until;
       if (message.at > this->now || frozen) {
         ++i;
         continue;
@@ -217,7 +215,8 @@
                            static_cast<std::ptrdiff_t>(i));
       if (taken.life != this->life[taken.to]) continue;
       Process& process = this->processes[taken.to];
-      if (const auto* command = std::get_if<link::SwitchCommand>(&taken.message))
+      if (const auto* command =
+              std::get_if<link::SwitchCommand>(&taken.message))
         process.agent->OnCommand(*command, this->now);
       if (const auto* status = std::get_if<link::RankStatus>(&taken.message))
         process.lead->OnStatus(*status, this->now);
@@ -228,7 +227,8 @@
     // Links keep the order of their messages.
     TimePoint at = this->now + this->Between(1, 6);
     for (const Message& earlier : this->messages) {
-      if (earlier.from == from && earlier.to == to) at = std::max(at, earlier.at);
+      if (earlier.from == from && earlier.to == to)
+        at = std::max(at, earlier.at);
     }
     this->messages.push_back(
         {at, from, to, this->life[to], std::move(message)});
--- a/src/http/http_types.cc
+++ b/src/http/http_types.cc
@@ -10,11 +10,17 @@
 namespace banyanlane::http {
 namespace {
 
-constexpr std::array<std::string_view, 11> kHopFields = {
-    "connection",          "keep-alive",       "transfer-encoding",
-    "content-length",      "upgrade",          "proxy-connection",
-    "te",                  "trailer",          "proxy-authenticate",
-    "proxy-authorization", "expect"};
+constexpr std::array<std::string_view, 11> kHopFields = {"connection",
+                                                         "keep-alive",
+                                                         "transfer-encoding",
+                                                         "content-length",
+                                                         "upgrade",
+                                                         "proxy-connection",
+                                                         "te",
+                                                         "trailer",
+                                                         "proxy-authenticate",
+                                                         "proxy-authorization",
+                                                         "expect"};
 
 int HexDigit(char digit) {
   if (digit >= '0' && digit <= '9') return digit - '0';
--- a/src/http/internal/http_call.cc
+++ b/src/http/internal/http_call.cc
@@ -115,7 +115,8 @@
     failure = asio::error::operation_aborted;
   } else {
     this->connection->stream.expires_after(this->limits.connect_timeout);
-    this->connection->stream.async_connect(std::get<0>(resolved), yield[failure]);
+    this->connection->stream.async_connect(std::get<0>(resolved),
+                                           yield[failure]);
   }
   if (!failure && this->aborted) failure = asio::error::operation_aborted;
   if (failure) {
@@ -155,7 +156,8 @@
 
 bool HttpCall::ReadHead(Parser& parser, asio::yield_context yield) {
   beast::error_code failure;
-  beast::http::async_read_header(this->connection->stream, this->connection->buffer, parser,
+  beast::http::async_read_header(this->connection->stream,
+                                 this->connection->buffer, parser,
                                  yield[failure]);
   if (failure) {
     this->Fail("read_head", failure, SendState::kMaybeSent);
@@ -175,7 +177,8 @@
     parser.get().body().size = part.size();
     beast::error_code failure;
     this->connection->stream.expires_after(this->limits.silence_timeout);
-    beast::http::async_read_some(this->connection->stream, this->connection->buffer, parser,
+    beast::http::async_read_some(this->connection->stream,
+                                 this->connection->buffer, parser,
                                  yield[failure]);
     if (failure == beast::http::error::need_buffer) failure = {};
     const std::size_t count = part.size() - parser.get().body().size;
--- a/src/http/internal/http_runtime.cc
+++ b/src/http/internal/http_runtime.cc
@@ -55,9 +55,9 @@
   std::shared_ptr<IHttpCall> Call(
       const std::string& address, HttpRequest request, const CallLimits& limits,
       std::shared_ptr<IHttpCallObserver> observer) override {
-    auto call = std::make_shared<HttpCall>(
-        this->io, this->cache, address, std::move(request), limits,
-        std::move(observer));
+    auto call = std::make_shared<HttpCall>(this->io, this->cache, address,
+                                           std::move(request), limits,
+                                           std::move(observer));
     call->Start();
     return call;
   }
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -146,8 +146,7 @@
     bool late = false;
   };
   const auto watch = std::make_shared<Watch>();
-  asio::steady_timer timer(strand,
-                           kernel::Millis(limits.read_timeout_ms));
+  asio::steady_timer timer(strand, kernel::Millis(limits.read_timeout_ms));
   timer.async_wait([watch, &stream](const beast::error_code& cancelled) {
     if (cancelled || !watch->reading) return;
     watch->late = true;
@@ -186,14 +185,14 @@
     buffer.commit(count);
   }
   stream.expires_never();
-  if (this->ReadRequest(stream, strand, buffer, parser, limits, yield, failure)) {
+  if (this->ReadRequest(stream, strand, buffer, parser, limits, yield,
+                        failure)) {
     failure = beast::error::timeout;
   }
   if (failure) {
     const auto answer = AnswerToUnreadable(failure);
     if (!answer) return false;
-    HttpExchange exchange(stream, strand, yield, HttpRequest{}, limits,
-                          false);
+    HttpExchange exchange(stream, strand, yield, HttpRequest{}, limits, false);
     exchange.Reply(*answer);
     this->Discard(stream, yield);
     return false;
--- a/src/kernel/boot_clock.cc
+++ b/src/kernel/boot_clock.cc
@@ -8,7 +8,8 @@
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
   return TimePoint(std::chrono::duration_cast<Clock::duration>(
-      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 }  // namespace banyanlane::kernel
--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -1,11 +1,16 @@
 #include "kernel/event_log.h"
 
 #include <fmt/format.h>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 namespace banyanlane::kernel {
 namespace {
 
+/// Lines that wait to be written, at most.
+constexpr std::size_t kQueuedLines = 2'048;
+
 spdlog::level::level_enum SpdlogLevel(Level level) {
   switch (level) {
     case Level::kDebug:
@@ -77,7 +82,7 @@
        "A frame was malformed; its link is closed."},
       {EventId::kLinkPeerRefused, "link_peer_refused", Level::kWarning,
        "A peer failed the handshake."},
-      {EventId::kRequestEnded, "request_ended", Level::kDebug,
+      {EventId::kRequestEnded, "request_ended", Level::kInfo,
        "A request got its answer."},
       {EventId::kRequestRefused, "request_refused", Level::kInfo,
        "A request was given up on; the outcome says if it ran."},
@@ -121,6 +126,16 @@
   return rows;
 }
 
+void StartLog() {
+  spdlog::init_thread_pool(kQueuedLines, 1);
+  // The oldest lines are dropped when nobody takes them: the process never
+  // waits for its log.
+  spdlog::set_default_logger(
+      spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("events"));
+}
+
+void StopLog() { spdlog::shutdown(); }
+
 void SetLogLevel(std::string_view level) {
   spdlog::set_level(spdlog::level::from_str(std::string(level)));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v",
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -68,6 +68,12 @@
 /// Returns every event, in order of number.
 const std::vector<EventRow>& EventCatalogue();
 
+/// Writes from now on in a thread of its own, so that no other waits for it.
+void StartLog();
+
+/// Writes what is still queued, and ends the log.
+void StopLog();
+
 /// Sets the lowest level written: "debug", "info", "warning" or "error".
 void SetLogLevel(std::string_view level);
 
--- a/src/kernel/module_registry.cc
+++ b/src/kernel/module_registry.cc
@@ -1,9 +1,9 @@
 #include "kernel/module_registry.h"
 
-#include "kernel/enum_names.h"
-
 #include <algorithm>
 
+#include "kernel/enum_names.h"
+
 namespace banyanlane::kernel {
 namespace {
 
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -316,8 +316,8 @@
   template <typename Visitor>
   void Visit(Visitor& visit) {
     visit(this->role, this->node, this->incarnation, this->sequence,
-          this->link_address, this->caller_address, this->failure_domain, this->ready,
-          this->leaving, this->in_flight, this->engine_address,
+          this->link_address, this->caller_address, this->failure_domain,
+          this->ready, this->leaving, this->in_flight, this->engine_address,
           this->engine_pace);
   }
 };
@@ -344,9 +344,9 @@
   std::uint64_t prepared_version = 0;  ///< 0: none.
   std::uint64_t armed_version = 0;     ///< 0: none.
   std::uint64_t armed_step = 0;
-  std::uint64_t held_step = 0;  ///< 0: none.
-  std::uint64_t fence = 0;      ///< Of the lead that it obeys.
-  std::uint64_t highest_fence = 0;  ///< That it has met.
+  std::uint64_t held_step = 0;        ///< 0: none.
+  std::uint64_t fence = 0;            ///< Of the lead that it obeys.
+  std::uint64_t highest_fence = 0;    ///< That it has met.
   std::uint64_t refused_version = 0;  ///< That it could not prepare.
   std::uint64_t pace = 100;  ///< Time that its work takes, in hundredths.
   /// Experts in use: for each layer their number, then each of them.
@@ -374,9 +374,9 @@
 
 /// Lead to rank agent: what to reach now, in place of all earlier goals.
 struct SwitchCommand {
-  std::string lead;         ///< Process that leads, unlike any other.
-  std::uint64_t fence = 0;  ///< Even; the next odd number goes with what ends
-                            ///< or undoes a change.
+  std::string lead;          ///< Process that leads, unlike any other.
+  std::uint64_t fence = 0;   ///< Even; the next odd number goes with what ends
+                             ///< or undoes a change.
   std::uint64_t number = 0;  ///< Grows with each command of one fence.
   std::string group;
   std::uint64_t epoch = 0;
--- a/src/peers/internal/peer_gossip.cc
+++ b/src/peers/internal/peer_gossip.cc
@@ -109,7 +109,7 @@
 }
 
 void PeerGossip::SendNews(const link::PeerStates& states,
-                           const link::LinkPtr& except) {
+                          const link::LinkPtr& except) {
   for (const link::LinkPtr& link : this->Links()) {
     if (link != except) link->Send(states);
   }
--- a/src/peers/internal/peer_table.cc
+++ b/src/peers/internal/peer_table.cc
@@ -94,9 +94,8 @@
 }
 
 Peer PeerTable::ToPeer(const link::PeerState& state) {
-  return {state.role,           state.node,
-          state.link_address,   state.caller_address,
-          state.failure_domain, state.ready,
+  return {state.role,           state.node,           state.link_address,
+          state.caller_address, state.failure_domain, state.ready,
           state.leaving};
 }
 
@@ -119,8 +118,8 @@
     const std::vector<std::string>& wanted) const {
   std::vector<std::string> targets;
   const auto add = [this, &targets](const std::string& address) {
-    const bool known = std::find(targets.begin(), targets.end(), address) !=
-                       targets.end();
+    const bool known =
+        std::find(targets.begin(), targets.end(), address) != targets.end();
     if (!known && address != this->self.link_address && !address.empty() &&
         targets.size() < this->limits.links) {
       targets.push_back(address);
@@ -162,8 +161,7 @@
   for (const auto& entry : this->peers) {
     const double pace =
         static_cast<double>(entry.second.state.engine_pace) / kHundred;
-    const bool recent =
-        now - entry.second.heard_at <= this->limits.pace_memory;
+    const bool recent = now - entry.second.heard_at <= this->limits.pace_memory;
     if (recent && pace > kUsualPace)
       this->paces[entry.second.state.engine_address] = pace;
     if (!this->IsLive(entry.second, now)) continue;
--- a/src/peers/peers_module.cc
+++ b/src/peers/peers_module.cc
@@ -34,9 +34,9 @@
     this->hello.failure_domain = self.failure_domain;
     this->address = self.link_address;
     this->hub = context.Resolve<link::ILinkHub>();
-    this->gossip = std::make_shared<PeerGossip>(
-        PeerTable(std::move(self), PeerLimits{}),
-        settings.List("link", "seeds"), this->hub);
+    this->gossip =
+        std::make_shared<PeerGossip>(PeerTable(std::move(self), PeerLimits{}),
+                                     settings.List("link", "seeds"), this->hub);
     context.Export<IPeers>(this->gossip);
   }
 
