Send one request at a time while a service refuses everything

Excluded: a longer Retry-After alone, since callers come back only once and wait at most a third of their time. Change: three refusals in a row close a service; one request each 0.2 s tries it, others wait their usual time, and are then told 1.5 s. Tests: endpoint_pool/sends_one_at_a_time_*, direct_flow/waits_for_a_service_*.

--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -105,7 +105,10 @@
   const kernel::Millis longest = this->LongestWait(now);
   const auto expected =
       this->context.line.ExpectedWait(service, this->request.urgency, now);
-  if (expected && *expected > longest) {
+  // While a service refuses everything, how fast the line has moved says
+  // nothing of how fast it will once the service is open.
+  const bool is_closed = this->context.pool.IsClosed(service);
+  if (!is_closed && expected && *expected > longest) {
     this->GiveUp("overloaded",
                  *expected - longest + this->context.limits.retry_after);
     return;
@@ -291,7 +294,7 @@
       this->unreachable > this->context.limits.most_unreachable ||
       this->MillisLeft(now) < this->context.limits.least_time.count();
   if (give_up) {
-    this->GiveUp("unreachable", this->context.limits.retry_after);
+    this->GiveUp("unreachable", this->RetryAfter());
   } else {
     this->SendOrWait(now);
   }
@@ -305,7 +308,7 @@
     this->SendOrWait(now);
     return;
   }
-  this->GiveUp("endpoints_full", this->context.limits.retry_after);
+  this->GiveUp("endpoints_full", this->RetryAfter());
 }
 
 void DirectFlow::OnLost(AttemptResult /*result*/, kernel::TimePoint now) {
@@ -338,7 +341,7 @@
   if (this->state == State::kWaiting) {
     if (now < this->wait_until && now < this->answer_by) return {};
     this->EndWait(now);
-    this->GiveUp("no_room", this->context.limits.retry_after);
+    this->GiveUp("no_room", this->RetryAfter());
     return this->Take();
   }
   if (now >= this->answer_by) {
@@ -398,6 +401,12 @@
   this->endpoint.reset();
 }
 
+kernel::Millis DirectFlow::RetryAfter() const {
+  return this->context.pool.IsClosed(this->request.service)
+             ? this->context.limits.retry_after_closed
+             : this->context.limits.retry_after;
+}
+
 void DirectFlow::GiveUp(std::string_view reason, kernel::Millis retry_after) {
   if (this->streaming) {
     // The caller has a part of the stream, which nothing else can follow.
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -39,6 +39,9 @@
   double in_time_part = 0.5;
   /// Told to callers where nothing better is known.
   kernel::Millis retry_after{300};
+  /// Told while a service refuses everything: a group forms anew in about two
+  /// seconds, some of which the caller has waited here.
+  kernel::Millis retry_after_closed{1'500};
   /// Sendings of one request that endpoints refused without running it.
   int most_refusals = 3;
   /// Connections of one request that could not be opened.
@@ -112,6 +115,8 @@
 
   void Abandon(AttemptResult result);
   void Release(AttemptResult result);
+  /// Returns when a request that has not run may come back.
+  kernel::Millis RetryAfter() const;
   /// Answers the caller as what is known of the request allows.
   /// @param retry_after told where the request has not run.
   void GiveUp(std::string_view reason, kernel::Millis retry_after);
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -116,6 +116,7 @@
 EndpointPool::Endpoint* EndpointPool::Best(Service& service,
                                            const std::set<std::string>& avoid,
                                            kernel::TimePoint now) const {
+  if (this->IsClosed(service) && now < service.closed_until) return nullptr;
   std::vector<Endpoint*> best;
   double best_load = 0;
   bool best_ejected = false;
@@ -150,6 +151,9 @@
   Endpoint* best = this->Best(*found, avoid, now);
   if (best == nullptr) return std::nullopt;
   ++best->in_flight;
+  // This one tries whether the service is open; others wait for what it meets.
+  if (this->IsClosed(*found))
+    found->closed_until = now + this->limits.closed_pause;
   return EndpointChoice{best->instance.id, best->instance.address, service};
 }
 
@@ -173,6 +177,23 @@
                      });
 }
 
+bool EndpointPool::IsClosed(const Service& service) const {
+  return service.refusals_in_a_row >= this->limits.refusals_to_close;
+}
+
+bool EndpointPool::IsClosed(const std::string& service) {
+  const auto found = this->Find(service);
+  if (!found) return false;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  return this->IsClosed(*found);
+}
+
+void EndpointPool::CountRefusal(Service& service, kernel::TimePoint now) const {
+  ++service.refusals_in_a_row;
+  if (this->IsClosed(service))
+    service.closed_until = now + this->limits.closed_pause;
+}
+
 void EndpointPool::OnFailure(Endpoint& endpoint, kernel::TimePoint now) const {
   ++endpoint.failures_in_a_row;
   const int over = endpoint.failures_in_a_row - this->limits.failures_to_eject;
@@ -202,7 +223,11 @@
   }
   if (failed && result != AttemptResult::kFailed)
     this->OnFailure(endpoint, now);
-  if (result == AttemptResult::kAnswered) endpoint.failures_in_a_row = 0;
+  if (result == AttemptResult::kAnswered) {
+    endpoint.failures_in_a_row = 0;
+    found->refusals_in_a_row = 0;
+  }
+  if (result == AttemptResult::kFull) this->CountRefusal(*found, now);
   if (result == AttemptResult::kFull)
     endpoint.full_until = now + this->limits.full_pause;
   if (result == AttemptResult::kReplaced)
@@ -216,6 +241,7 @@
   const std::lock_guard<std::mutex> lock(found->mutex);
   const auto known = found->endpoints.find(choice.id);
   if (known != found->endpoints.end()) known->second.progressed_at = now;
+  found->refusals_in_a_row = 0;
 }
 
 bool EndpointPool::OthersProgress(const EndpointChoice& choice,
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -54,6 +54,11 @@
   /// An endpoint whose address another one had is tried again after this, if
   /// the list still names it.
   kernel::Millis replaced_pause{10'000};
+  /// Refusals in a row, of any endpoints of a service, after which the service
+  /// counts as closed: a group that has lost a rank refuses everything until it
+  /// has formed anew. One request at a time then tries whether it is open.
+  int refusals_to_close = 3;
+  kernel::Millis closed_pause{200};
   /// Failures in a row after which an endpoint is left alone for a while.
   int failures_to_eject = 2;
 };
@@ -84,6 +89,9 @@
   /// Returns whether Choose would find an endpoint.
   bool HasRoom(const std::string& service, kernel::TimePoint now);
 
+  /// Returns whether all endpoints of `service` refuse what they are sent.
+  bool IsClosed(const std::string& service);
+
   /// Returns whether `service` has any endpoint besides those in `avoid` that
   /// takes work, if not now.
   bool HasEndpoints(const std::string& service,
@@ -123,6 +131,8 @@
     std::mutex mutex;
     std::map<std::string, Endpoint> endpoints;  ///< By id.
     std::minstd_rand random;
+    int refusals_in_a_row = 0;
+    kernel::TimePoint closed_until;
   };
 
   std::shared_ptr<Service> Find(const std::string& service);
@@ -134,6 +144,8 @@
                                kernel::TimePoint now) const;
   Endpoint* Best(Service& service, const std::set<std::string>& avoid,
                  kernel::TimePoint now) const;
+  bool IsClosed(const Service& service) const;
+  void CountRefusal(Service& service, kernel::TimePoint now) const;
   void OnFailure(Endpoint& endpoint, kernel::TimePoint now) const;
 
   std::string failure_domain;
--- a/src/direct/tests/direct_flow_test.cc
+++ b/src/direct/tests/direct_flow_test.cc
@@ -272,6 +272,25 @@
   cr_assert_eq(world.line.Length("model"), 0);
 }
 
+// The load it answers: callers that all come back while a group forms anew.
+Test(direct_flow, waits_for_a_service_that_refuses_everything) {
+  World world(true, true, 16);
+  for (int i = 0; i < 40; ++i) {
+    const auto ticket = world.line.Join("model", 0, kStart);
+    if (i % 2 == 0) world.line.Leave("model", 0, ticket);
+    world.line.OnServed("model", kStart + Millis(i * 200));
+  }
+  for (int i = 0; i < 3; ++i) {
+    const auto choice = world.pool.Choose("model", {}, kStart);
+    world.pool.Release(*choice, AttemptResult::kFull, kStart);
+  }
+  world.Do(world.flow->Start(kStart + Millis(8'000)));
+  cr_assert_null(world.Last<Refuse>());
+  cr_assert_neq(world.flow->WaitingTicket(), 0);
+  world.Do(world.flow->OnTimer(kStart + Millis(9'500)));
+  cr_assert_geq(world.Last<Refuse>()->retry_after_ms, 750);
+}
+
 Test(direct_flow, abandons_the_call_of_a_caller_who_left) {
   World world(true, true);
   world.Do(world.flow->Start(kStart));
@@ -323,6 +342,33 @@
   cr_assert(pool.HasEndpoints("model", {}, kStart));
 }
 
+// The load it answers: all requests of the seconds in which a group that has
+// lost a rank forms anew. Each one sent would be refused, and callers come back
+// only once.
+Test(endpoint_pool, sends_one_at_a_time_while_a_service_refuses_all) {
+  EndpointPool pool(
+      "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+      [](const std::string&) { return 1.0; });
+  pool.OnInstances(ListOf(16));
+  TimePoint now = kStart;
+  int sent = 0;
+  for (int tick = 0; tick < 200; ++tick) {
+    now += Millis(10);
+    const auto choice = pool.Choose("model", {}, now);
+    if (!choice) continue;
+    ++sent;
+    pool.Release(*choice, AttemptResult::kFull, now);
+  }
+  cr_assert(pool.IsClosed("model"));
+  cr_assert_leq(sent, 15, "%d sent in two seconds", sent);
+  const auto open = pool.Choose("model", {}, now + Millis(250));
+  cr_assert(open.has_value());
+  pool.OnProgress(*open, now + Millis(300));
+  cr_assert_not(pool.IsClosed("model"));
+  for (int i = 0; i < 5; ++i)
+    cr_assert(pool.Choose("model", {}, now + Millis(300)).has_value());
+}
+
 Test(endpoint_pool, gives_no_work_to_a_leaving_endpoint) {
   EndpointPool pool(
       "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
