--- a/src/admin/admin_module.cc
+++ b/src/admin/admin_module.cc
@@ -24,13 +24,8 @@
     this->runtime = context.Resolve<http::IHttpRuntime>();
   }
   void Start() override {
-    auto opened = this->runtime->Listen(this->address, this->handler,
-                                        http::ServerLimits{});
-    if (const kernel::Error* error = kernel::ErrorOf(opened)) {
-      throw std::runtime_error(kernel::Describe(*error));
-    }
     this->server =
-        std::get<std::shared_ptr<http::IHttpServer>>(std::move(opened));
+        http::OpenServer(*this->runtime, this->address, this->handler);
   }
   void Stop() override { this->server->StopAccepting(); }
 
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -113,21 +113,6 @@
   return kExitOk;
 }
 
-std::string EncodeQuery(std::string_view text) {
-  constexpr char kDigits[] = "0123456789ABCDEF";
-  std::string encoded;
-  for (const unsigned char c : text) {
-    if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.') {
-      encoded += static_cast<char>(c);
-      continue;
-    }
-    encoded += '%';
-    encoded += kDigits[c / 16];
-    encoded += kDigits[c % 16];
-  }
-  return encoded;
-}
-
 int RunCommand(const std::vector<std::string>& words) {
   const std::string command = words.empty() ? "" : words[0];
   if (const auto role = kernel::ParseRole(command)) return RunRole(*role);
@@ -140,8 +125,9 @@
     if (command == "explain") {
       return ShowAdminPage(
           words[1],
-          "/explain?profile=" + EncodeQuery(absl::GetFlag(FLAGS_profile)) +
-              "&prefix=" + EncodeQuery(absl::GetFlag(FLAGS_prefix)));
+          "/explain?profile=" +
+              http::EncodeQuery(absl::GetFlag(FLAGS_profile)) +
+              "&prefix=" + http::EncodeQuery(absl::GetFlag(FLAGS_prefix)));
     }
   }
   std::cerr << "banyanlane: " << kUsage;
--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <memory>
-#include <stdexcept>
 
 #include "admin/i_status_board.h"
 #include "direct/internal/direct_service.h"
@@ -44,12 +43,8 @@
   }
 
   void Start() override {
-    auto opened = this->runtime->Listen(this->listen, this->service,
-                                        http::ServerLimits{});
-    if (const kernel::Error* error = kernel::ErrorOf(opened))
-      throw std::runtime_error(kernel::Describe(*error));
     this->server =
-        std::get<std::shared_ptr<http::IHttpServer>>(std::move(opened));
+        http::OpenServer(*this->runtime, this->listen, this->service);
     if (const config::ConfigPtr config = this->store->Current())
       this->ApplyLimits(config->caller_limits);
     this->runtime->Every(kPublishPeriod,
--- a/src/entry/entry_module.cc
+++ b/src/entry/entry_module.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <memory>
-#include <stdexcept>
 
 #include "admin/i_status_board.h"
 #include "entry/internal/entry_service.h"
@@ -57,13 +56,8 @@
   }
 
   void Start() override {
-    auto opened = this->runtime->Listen(this->listen, this->service,
-                                        http::ServerLimits{});
-    if (const kernel::Error* error = kernel::ErrorOf(opened)) {
-      throw std::runtime_error(kernel::Describe(*error));
-    }
     this->server =
-        std::get<std::shared_ptr<http::IHttpServer>>(std::move(opened));
+        http::OpenServer(*this->runtime, this->listen, this->service);
     this->runtime->Every(kTickPeriod,
                          [service = this->service](kernel::TimePoint now) {
                            service->OnTick(now);
--- a/src/http/http_types.cc
+++ b/src/http/http_types.cc
@@ -46,6 +46,24 @@
 
 }  // namespace
 
+std::string EncodeQuery(std::string_view text) {
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  constexpr std::string_view kPlain = "-_.~/";
+  constexpr unsigned kHexBase = 16;
+  std::string encoded;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (std::isalnum(byte) != 0 || kPlain.find(c) != std::string_view::npos) {
+      encoded += c;
+      continue;
+    }
+    encoded += '%';
+    encoded += kDigits[byte / kHexBase];
+    encoded += kDigits[byte % kHexBase];
+  }
+  return encoded;
+}
+
 std::string HeaderOf(const Headers& headers, std::string_view name) {
   for (const auto& [key, value] : headers) {
     if (key == name) return value;
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -47,6 +47,10 @@
   std::string body;
 };
 
+/// Returns `text` for use in a query, with all but letters, digits and "-_.~/"
+/// in percent form.
+std::string EncodeQuery(std::string_view text);
+
 /// An IP address with its port.
 struct HostPort {
   std::string host;
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -93,6 +93,12 @@
   virtual void Stop() = 0;
 };
 
+/// Opens a server of `runtime` at `address`.
+/// @throws std::runtime_error when it can't listen there.
+std::shared_ptr<IHttpServer> OpenServer(IHttpRuntime& runtime,
+                                        const std::string& address,
+                                        std::shared_ptr<IHttpHandler> handler);
+
 /// Returns a runtime built on Boost.Asio and Boost.Beast.
 std::shared_ptr<IHttpRuntime> MakeHttpRuntime();
 
--- a/src/http/internal/http_runtime.cc
+++ b/src/http/internal/http_runtime.cc
@@ -1,6 +1,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <optional>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -109,6 +110,15 @@
 
 }  // namespace
 
+std::shared_ptr<IHttpServer> OpenServer(IHttpRuntime& runtime,
+                                        const std::string& address,
+                                        std::shared_ptr<IHttpHandler> handler) {
+  auto opened = runtime.Listen(address, std::move(handler), ServerLimits{});
+  if (const kernel::Error* error = kernel::ErrorOf(opened))
+    throw std::runtime_error(kernel::Describe(*error));
+  return std::get<std::shared_ptr<IHttpServer>>(std::move(opened));
+}
+
 std::shared_ptr<IHttpRuntime> MakeHttpRuntime() {
   return std::make_shared<HttpRuntime>();
 }
