Frame requests strictly, and bound connections and bodies of all servers

Cause: the HTTP server left framing to the parser. A transfer coding other than chunked was read as no body, and the bytes after it as a second request; repeated lengths and hosts passed. After a failed accept the next one was tried at once, which spins at the descriptor limit. An idle connection kept a coroutine and a read buffer. Whole bodies had no bound over all requests, and were held up to four times.

Change: RequestFraming refuses what two readers could take differently (400, or 501 for a coding before chunked) and closes; folded fields are joined; an absolute target gives the host; other forms of target get 400; callers that wait for "100 Continue" get it. ConnectionRoster counts the connections of all servers of a process, closes the longest idle one for a new one, and has those over the bound refused by the handler's own words; accepting pauses after a failure. CallerConnection has a coroutine only while it carries a request. BodyBudget bounds the memory of bodies and holds callers back by their connections; bodies are moved, not copied. New settings: [http] descriptors and memory_mb.

--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -14,6 +14,9 @@
 /// Told to callers that come before the gateway knows what to serve, or after
 /// it has told them to use others.
 constexpr std::int64_t kNotServingRetryMillis = 250;
+/// Told to callers that find no connection or memory free. Another gateway may
+/// have some at once.
+constexpr std::int64_t kCrowdedRetryMillis = 250;
 /// Callers may keep an answer this many times as long as they are told.
 constexpr int kOverkeeping = 3;
 /// End of a graceful shutdown before the platform ends the process.
@@ -114,8 +117,7 @@
 }
 
 std::variant<DirectWork, DirectService::Rejection> DirectService::Check(
-    const http::HttpRequest& request, const CallerHead& head,
-    kernel::TimePoint now) {
+    http::HttpRequest& request, const CallerHead& head, kernel::TimePoint now) {
   const auto table = this->Routes();
   if (!table || this->membership->Current() == nullptr)
     return Rejection{kUnavailable, "not_ready", kNotServingRetryMillis};
@@ -126,9 +128,8 @@
   if (too_late) return Rejection{kUnavailable, "leaving", 0};
   DirectWork work;
   work.config = table->config();
-  work.message = request;
-  work.message.authority = http::HeaderOf(request.headers, "host");
-  work.profile = table->Find(work.message.authority, request.Path());
+  const std::string host = http::HeaderOf(request.headers, "host");
+  work.profile = table->Find(host, request.Path());
   if (work.profile == nullptr) return Rejection{kNotFound, "no_route"};
   const auto& keys = work.config->organisations_by_key;
   const auto organisation = keys.find(head.key);
@@ -140,6 +141,8 @@
     work.urgency = organisation->second.urgency.value_or(work.urgency);
   }
   work.service = this->DrawService(*work.profile);
+  work.message = std::move(request);
+  work.message.authority = host;
   work.request_id = head.request_id;
   work.deadline_ms = head.deadline_ms.value_or(work.profile->deadline_ms);
   work.last_event_id = head.last_event_id;
@@ -148,9 +151,10 @@
 
 void DirectService::Handle(http::IHttpExchange& exchange) {
   const auto now = kernel::Clock::now();
-  const CallerHead head = this->protocol->ReadRequest(exchange.request());
+  http::HttpRequest request = exchange.TakeRequest();
+  const CallerHead head = this->protocol->ReadRequest(request);
   if (this->LeavingSince()) exchange.CloseAfterAnswer();
-  auto checked = this->Check(exchange.request(), head, now);
+  auto checked = this->Check(request, head, now);
   if (const auto* rejection = std::get_if<Rejection>(&checked)) {
     this->Reject(exchange, *rejection, head.request_id);
     return;
@@ -161,15 +165,25 @@
 void DirectService::Reject(http::IHttpExchange& exchange,
                            const Rejection& rejection,
                            const std::string& request_id) {
+  exchange.Reply(this->WriteRejection(rejection, request_id));
+}
+
+http::HttpResponse DirectService::WriteRejection(
+    const Rejection& rejection, const std::string& request_id) {
   this->metrics->Count("banyanlane_refusals_total{reason=\"" +
                        rejection.reason + "\"}");
   kernel::LogEvent(kernel::EventId::kRequestRefused,
                    {{"request", request_id},
                     {"status", std::to_string(rejection.status)},
                     {"reason", rejection.reason}});
-  exchange.Reply(
-      this->protocol->WriteRefusal(rejection.status, rejection.reason,
-                                   rejection.retry_after_ms, request_id));
+  return this->protocol->WriteRefusal(rejection.status, rejection.reason,
+                                      rejection.retry_after_ms, request_id);
+}
+
+http::HttpResponse DirectService::RefuseOverload(
+    const http::HttpRequest& request, const std::string& reason) {
+  return this->WriteRejection({kUnavailable, reason, kCrowdedRetryMillis},
+                              this->protocol->ReadRequest(request).request_id);
 }
 
 void DirectService::Run(http::IHttpExchange& exchange, DirectWork work) {
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -47,6 +47,8 @@
                 kernel::TimePoint now);
 
   void Handle(http::IHttpExchange& exchange) override;
+  http::HttpResponse RefuseOverload(const http::HttpRequest& request,
+                                    const std::string& reason) override;
 
   bool IsReady(kernel::TimePoint now) override;
   GatewayAddresses AddressesFor(const std::string& failure_domain,
@@ -72,7 +74,8 @@
     std::int64_t retry_after_ms = -1;
   };
 
-  std::variant<DirectWork, Rejection> Check(const http::HttpRequest& request,
+  /// @param request is moved from unless it is rejected.
+  std::variant<DirectWork, Rejection> Check(http::HttpRequest& request,
                                             const CallerHead& head,
                                             kernel::TimePoint now);
   std::string DrawService(const config::Profile& profile);
@@ -82,6 +85,8 @@
                DirectActions actions);
   void Reject(http::IHttpExchange& exchange, const Rejection& rejection,
               const std::string& request_id);
+  http::HttpResponse WriteRejection(const Rejection& rejection,
+                                    const std::string& request_id);
   /// Sends the first of those that wait while there is room.
   void LetIn(const std::string& service, kernel::TimePoint now);
   std::shared_ptr<const RouteTable> Routes();
--- a/src/http/i_http_handler.h
+++ b/src/http/i_http_handler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "http/http_types.h"
@@ -26,6 +27,8 @@
   virtual ~IHttpExchange() = default;
 
   virtual const HttpRequest& request() const = 0;
+  /// Moves the request out, whose body can be large.
+  virtual HttpRequest TakeRequest() = 0;
 
   /// Returns what wakes `Wait`.
   virtual std::shared_ptr<INotifier> notifier() = 0;
@@ -63,6 +66,11 @@
   /// Answers `exchange`; runs as a coroutine and may suspend in the exchange's
   /// methods.
   virtual void Handle(IHttpExchange& exchange) = 0;
+
+  /// Returns the answer to a request that the server has no room for. The
+  /// request has not reached Handle, and its body was not read.
+  virtual HttpResponse RefuseOverload(const HttpRequest& request,
+                                      const std::string& reason);
 };
 
 }  // namespace banyanlane::http
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -24,6 +24,8 @@
   virtual void SetLimits(const ServerLimits& limits) = 0;
   /// Returns the number of exchanges that are not answered yet.
   virtual std::size_t ActiveExchanges() const = 0;
+  /// Returns how often a connection could not be accepted.
+  virtual std::uint64_t FailedAccepts() const = 0;
 };
 
 /// What became of the connection under a failed call.
@@ -68,6 +70,13 @@
   bool reuse_connection = false;
 };
 
+/// What all servers of a runtime may use together.
+struct ServerCapacity {
+  std::size_t connections = 4'096;
+  /// Memory for the bodies of all requests that are not answered yet.
+  std::uint64_t body_bytes = std::uint64_t{64} * 1024 * 1024;
+};
+
 /// Runs servers and calls on a pool of threads.
 class IHttpRuntime {
  public:
@@ -100,7 +109,8 @@
                                         std::shared_ptr<IHttpHandler> handler);
 
 /// Returns a runtime built on Boost.Asio and Boost.Beast.
-std::shared_ptr<IHttpRuntime> MakeHttpRuntime();
+std::shared_ptr<IHttpRuntime> MakeHttpRuntime(
+    const ServerCapacity& capacity = ServerCapacity{});
 
 /// Sends `request` and waits for the whole answer; blocks the calling thread.
 /// @param cancelled ends the wait soon after it becomes true; may be null.
--- a/src/http/internal/http_call.cc
+++ b/src/http/internal/http_call.cc
@@ -128,7 +128,7 @@
 }
 
 beast::error_code HttpCall::WriteRequest(asio::yield_context yield) {
-  beast::http::request<beast::http::string_body> message;
+  beast::http::request<beast::http::span_body<const char>> message;
   message.version(kHttpVersion);
   message.method_string(this->request.method);
   message.target(this->request.target);
@@ -139,7 +139,7 @@
     if (!IsHopField(name) && name != "host") message.insert(name, value);
   }
   message.keep_alive(this->limits.reuse_connection);
-  message.body() = this->request.body;
+  message.body() = {this->request.body.data(), this->request.body.size()};
   message.prepare_payload();
   beast::error_code failure;
   this->connection->stream.expires_after(this->limits.head_timeout);
@@ -149,6 +149,8 @@
 
 bool HttpCall::SendRequest(asio::yield_context yield) {
   const beast::error_code failure = this->WriteRequest(yield);
+  // The answer can take long, and the body much memory.
+  this->request.body = std::string();
   if (!failure) return true;
   this->Fail("send", failure, SendState::kMaybeSent);
   return false;
--- a/src/http/internal/http_exchange.h
+++ b/src/http/internal/http_exchange.h
@@ -49,6 +49,7 @@
   ~HttpExchange() override;
 
   const HttpRequest& request() const override { return this->received; }
+  HttpRequest TakeRequest() override { return std::move(this->received); }
   std::shared_ptr<INotifier> notifier() override { return this->signal; }
   WakeReason Wait(kernel::TimePoint until) override;
   void CloseAfterAnswer() override { this->keep_alive = false; }
--- a/src/http/internal/http_runtime.cc
+++ b/src/http/internal/http_runtime.cc
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "http/i_http_runtime.h"
+#include "http/internal/body_budget.h"
+#include "http/internal/connection_roster.h"
 #include "http/internal/http_call.h"
 #include "http/internal/http_server.h"
 
@@ -13,6 +15,8 @@
 namespace {
 
 constexpr kernel::Millis kCancelCheckPeriod{50};
+/// Idle connections are closed at most this much late.
+constexpr kernel::Millis kIdleCheckPeriod{1'000};
 
 /// Repeats a task on the pool.
 class PeriodicTask : public std::enable_shared_from_this<PeriodicTask> {
@@ -39,6 +43,9 @@
 
 class HttpRuntime : public IHttpRuntime {
  public:
+  explicit HttpRuntime(const ServerCapacity& capacity)
+      : bounds{std::make_shared<ConnectionRoster>(capacity.connections),
+               std::make_shared<BodyBudget>(capacity.body_bytes)} {}
   ~HttpRuntime() override { this->Stop(); }
 
   kernel::Result<std::shared_ptr<IHttpServer>> Listen(
@@ -46,8 +53,8 @@
       const ServerLimits& limits) override {
     const auto endpoint = ResolveAddress(address);
     if (const kernel::Error* error = kernel::ErrorOf(endpoint)) return *error;
-    auto server =
-        std::make_shared<HttpServer>(this->io, std::move(handler), limits);
+    auto server = std::make_shared<HttpServer>(this->io, std::move(handler),
+                                               limits, this->bounds);
     const auto opened = server->Open(std::get<0>(endpoint));
     if (const kernel::Error* error = kernel::ErrorOf(opened)) return *error;
     return std::shared_ptr<IHttpServer>(server);
@@ -70,6 +77,10 @@
   }
 
   void Start(int threads) override {
+    this->Every(kIdleCheckPeriod,
+                [roster = this->bounds.roster](kernel::TimePoint now) {
+                  roster->CloseExpired(now);
+                });
     for (int i = 0; i < threads; ++i) {
       this->pool.emplace_back([this] { this->io.run(); });
     }
@@ -83,6 +94,7 @@
 
  private:
   asio::io_context io;
+  SharedBounds bounds;
   std::shared_ptr<ConnectionCache> cache = std::make_shared<ConnectionCache>();
   asio::executor_work_guard<asio::io_context::executor_type> work{
       io.get_executor()};
@@ -119,8 +131,8 @@
   return std::get<std::shared_ptr<IHttpServer>>(std::move(opened));
 }
 
-std::shared_ptr<IHttpRuntime> MakeHttpRuntime() {
-  return std::make_shared<HttpRuntime>();
+std::shared_ptr<IHttpRuntime> MakeHttpRuntime(const ServerCapacity& capacity) {
+  return std::make_shared<HttpRuntime>(capacity);
 }
 
 kernel::Result<HttpResponse> Fetch(const std::string& address,
--- a/src/http/internal/http_server.h
+++ b/src/http/internal/http_server.h
@@ -6,17 +6,26 @@
 
 #include "http/i_http_runtime.h"
 #include "http/internal/asio_http.h"
+#include "http/internal/body_budget.h"
+#include "http/internal/connection_roster.h"
 
 namespace banyanlane::http {
 
+class CallerConnection;
 class HttpExchange;
 
-/// Accepts connections and runs one coroutine for each.
+/// What all servers of a process share.
+struct SharedBounds {
+  std::shared_ptr<ConnectionRoster> roster;
+  std::shared_ptr<BodyBudget> bodies;
+};
+
+/// Accepts connections.
 class HttpServer : public IHttpServer,
                    public std::enable_shared_from_this<HttpServer> {
  public:
   HttpServer(asio::io_context& io, std::shared_ptr<IHttpHandler> handler,
-             const ServerLimits& limits);
+             const ServerLimits& limits, SharedBounds bounds);
 
   /// Binds to `endpoint` and begins to accept.
   kernel::Result<std::uint16_t> Open(const tcp::endpoint& endpoint);
@@ -25,36 +34,38 @@
   void StopAccepting() override;
   void SetLimits(const ServerLimits& limits) override;
   std::size_t ActiveExchanges() const override { return this->active; }
-
- private:
-  void Accept();
-  void Serve(StrandStream& stream, const Strand& strand,
-             asio::yield_context yield);
-  using RequestParser = beast::http::request_parser<beast::http::string_body>;
-
-  /// Reads one request. @return whether its time was up before it was whole.
-  static bool ReadRequest(StrandStream& stream, const Strand& strand,
-                          beast::flat_buffer& buffer, RequestParser& parser,
-                          const ServerLimits& limits, asio::yield_context yield,
-                          beast::error_code& failure);
-  void HandleGuarded(HttpExchange& exchange);
-  /// Answers one request. @return whether the connection goes on.
-  bool ServeOne(StrandStream& stream, const Strand& strand,
-                beast::flat_buffer& buffer, asio::yield_context yield);
+  std::uint64_t FailedAccepts() const override { return this->failed_accepts; }
 
   ServerLimits CurrentLimits() const;
+  bool IsAccepting() const { return this->accepting; }
+  ConnectionRoster& roster() { return *this->bounds.roster; }
+  BodyBudget& bodies() { return *this->bounds.bodies; }
+  IHttpHandler& handler() { return *this->request_handler; }
+
+  /// Lets the handler answer a request.
+  void Handle(HttpExchange& exchange);
 
-  /// Reads on for a while, so that a refusal is not lost under a body that
-  /// still comes in.
-  void Discard(StrandStream& stream, asio::yield_context yield);
+ private:
+  void Accept();
+  void AcceptAfterPause();
+  void OnAccepted(const std::shared_ptr<CallerConnection>& connection,
+                  const beast::error_code& failure);
+  /// Logs when accepting begins or ceases to fail.
+  void NoteAccept(const beast::error_code& failure);
 
   asio::io_context& io;
   tcp::acceptor acceptor;
-  std::shared_ptr<IHttpHandler> handler;
+  asio::steady_timer pause_timer;
+  std::shared_ptr<IHttpHandler> request_handler;
   mutable std::mutex limits_mutex;
   ServerLimits limits;
+  SharedBounds bounds;
   std::uint16_t bound_port = 0;
   std::atomic<std::size_t> active{0};
+  std::atomic<std::uint64_t> failed_accepts{0};
+  std::atomic<bool> accepting{false};
+  bool is_failing = false;  ///< As the log has it.
+  kernel::TimePoint last_failure;
 };
 
 }  // namespace banyanlane::http
--- /dev/null
+++ b/src/http/internal/request_framing.cc
@@ -0,0 +1,78 @@
+#include "http/internal/request_framing.h"
+
+#include "kernel/text.h"
+
+namespace banyanlane::http {
+namespace {
+
+using beast::http::field;
+
+constexpr unsigned kVersionOneOne = 11;
+constexpr int kNotImplemented = 501;
+constexpr int kExpectationFailed = 417;
+constexpr std::string_view kChunked = "chunked";
+constexpr std::string_view kContinue = "100-continue";
+
+std::string_view ToStd(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::string LowerValue(const RequestHead& head, field name) {
+  return kernel::ToLower(kernel::Trim(ToStd(head[name])));
+}
+
+std::optional<FramingFault> FindTransferCodingFault(const RequestHead& head) {
+  if (head.count(field::transfer_encoding) == 0) return {};
+  if (head.version() < kVersionOneOne)
+    return FramingFault{400, "transfer_coding_in_old_version"};
+  if (head.count(field::content_length) > 0)
+    return FramingFault{400, "two_lengths"};
+  if (head.count(field::transfer_encoding) > 1)
+    return FramingFault{400, "repeated_transfer_coding"};
+  const std::string codings = LowerValue(head, field::transfer_encoding);
+  if (codings == kChunked) return {};
+  const auto listed = kernel::Split(codings, ',');
+  const bool has_end =
+      !listed.empty() && kernel::Trim(listed.back()) == kChunked;
+  // Without the chunked coding at the end, nobody can tell where the body ends.
+  if (!has_end) return FramingFault{400, "length_unknown"};
+  return FramingFault{kNotImplemented, "transfer_coding_unknown"};
+}
+
+}  // namespace
+
+std::optional<FramingFault> FindFramingFault(const RequestHead& head) {
+  if (auto fault = FindTransferCodingFault(head)) return fault;
+  if (head.count(field::content_length) > 1)
+    return FramingFault{400, "two_lengths"};
+  if (head.count(field::host) > 1) return FramingFault{400, "two_hosts"};
+  const bool needs_host = head.version() >= kVersionOneOne;
+  if (needs_host && head.count(field::host) == 0)
+    return FramingFault{400, "no_host"};
+  if (head.count(field::expect) > 0 && !WaitsForContinue(head))
+    return FramingFault{kExpectationFailed, "unknown_expectation"};
+  return {};
+}
+
+std::optional<RequestTarget> SplitTarget(std::string_view target) {
+  constexpr std::string_view kSchemes[] = {"http://", "https://"};
+  if (!target.empty() && target.front() == '/')
+    return RequestTarget{"", std::string(target)};
+  for (const std::string_view scheme : kSchemes) {
+    const std::string start = kernel::ToLower(target.substr(0, scheme.size()));
+    if (start != scheme) continue;
+    target.remove_prefix(scheme.size());
+    const std::size_t end = std::min(target.find_first_of("/?"), target.size());
+    if (end == 0) return {};
+    std::string origin(target.substr(end));
+    if (origin.empty() || origin.front() != '/') origin.insert(0, "/");
+    return RequestTarget{std::string(target.substr(0, end)), origin};
+  }
+  return {};
+}
+
+bool WaitsForContinue(const RequestHead& head) {
+  return LowerValue(head, field::expect) == kContinue;
+}
+
+}  // namespace banyanlane::http
--- /dev/null
+++ b/src/http/tests/http_server_test.cc
@@ -0,0 +1,252 @@
+#include <criterion/criterion.h>
+#include <sys/resource.h>
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "http/i_http_runtime.h"
+#include "http/tests/raw_caller.h"
+
+namespace banyanlane::http {
+namespace {
+
+/// Answers what it was asked, at once or when told to.
+class EchoHandler : public IHttpHandler {
+ public:
+  void Handle(IHttpExchange& exchange) override {
+    const HttpRequest request = exchange.TakeRequest();
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      ++this->handled;
+    }
+    while (this->IsHeld()) {
+      exchange.Wait(kernel::Clock::now() + kernel::Millis(1));
+    }
+    HttpResponse response;
+    response.body = "[" + request.method + " " + request.target +
+                    " host=" + HeaderOf(request.headers, "host") +
+                    " note=" + HeaderOf(request.headers, "note") +
+                    " body=" + std::to_string(request.body.size()) + "]";
+    exchange.Reply(response);
+  }
+
+  void Hold(bool held) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->held = held;
+  }
+  bool IsHeld() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->held;
+  }
+  int Handled() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->handled;
+  }
+
+ private:
+  std::mutex mutex;
+  bool held = false;
+  int handled = 0;
+};
+
+/// A server on a port of its own.
+struct Fixture {
+  explicit Fixture(const ServerCapacity& capacity = ServerCapacity{},
+                   const ServerLimits& limits = ServerLimits{})
+      : runtime(MakeHttpRuntime(capacity)) {
+    auto opened = this->runtime->Listen("127.0.0.1:0", this->handler, limits);
+    this->server = std::get<std::shared_ptr<IHttpServer>>(std::move(opened));
+    this->runtime->Start(1);
+  }
+  ~Fixture() { this->runtime->Stop(); }
+  Fixture(const Fixture&) = delete;
+  Fixture& operator=(const Fixture&) = delete;
+
+  std::string Ask(std::string_view text) const {
+    const RawCaller caller(this->server->port());
+    caller.Write(text);
+    return caller.ReadToEnd();
+  }
+  bool HasHandled(int count) const {
+    const auto until = kernel::Clock::now() + std::chrono::seconds(10);
+    while (this->handler->Handled() < count && kernel::Clock::now() < until) {
+    }
+    return this->handler->Handled() >= count;
+  }
+
+  std::shared_ptr<EchoHandler> handler = std::make_shared<EchoHandler>();
+  std::shared_ptr<IHttpRuntime> runtime;
+  std::shared_ptr<IHttpServer> server;
+};
+
+int CountOf(const std::string& text, std::string_view part) {
+  int count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+constexpr std::string_view kClose = "Connection: close\r\n";
+
+std::string Get(std::string_view target, std::string_view fields) {
+  return "GET " + std::string(target) + " HTTP/1.1\r\n" + std::string(fields) +
+         "\r\n";
+}
+
+}  // namespace
+
+Test(http_server, refuses_what_leaves_the_length_of_a_body_open) {
+  const std::vector<std::pair<std::string, std::string>> refused = {
+      {"Transfer-Encoding: xchunked\r\n", "HTTP/1.1 400"},
+      {"Transfer-Encoding: identity\r\n", "HTTP/1.1 400"},
+      {"Transfer-Encoding: chunked, gzip\r\n", "HTTP/1.1 400"},
+      {"Transfer-Encoding: gzip, chunked\r\n", "HTTP/1.1 501"},
+      {"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", "HTTP/1.1 400"},
+      {"Content-Length: 3\r\nContent-Length: 3\r\n", "HTTP/1.1 400"},
+      {"Content-Length: 3\r\nContent-Length: 30\r\n", "HTTP/1.1 400"},
+      {"Content-Length: +3\r\n", "HTTP/1.1 400"},
+      {"Content-Length: 1\r\n 0\r\n", "HTTP/1.1 400"},
+      {"Transfer-Encoding : chunked\r\n", "HTTP/1.1 400"},
+  };
+  const Fixture fixture;
+  for (const auto& [fields, status] : refused) {
+    const std::string answer =
+        fixture.Ask("POST /a HTTP/1.1\r\nHost: h\r\n" + fields +
+                    "\r\n0\r\n\r\n" + Get("/smuggled", "Host: h\r\n"));
+    cr_expect_eq(answer.rfind(status, 0), 0, "%s: %s", fields.c_str(),
+                 answer.c_str());
+    cr_expect_eq(CountOf(answer, "HTTP/1.1 "), 1, "%s: %s", fields.c_str(),
+                 answer.c_str());
+  }
+  cr_expect_eq(fixture.handler->Handled(), 0);
+}
+
+Test(http_server, refuses_a_request_without_exactly_one_host) {
+  const Fixture fixture;
+  const std::string none = fixture.Ask(Get("/a", ""));
+  cr_expect_eq(none.rfind("HTTP/1.1 400", 0), 0, "%s", none.c_str());
+  const std::string two = fixture.Ask(Get("/a", "Host: a\r\nHost: b\r\n"));
+  cr_expect_eq(two.rfind("HTTP/1.1 400", 0), 0, "%s", two.c_str());
+}
+
+Test(http_server, joins_the_lines_of_a_folded_field) {
+  const Fixture fixture;
+  const std::string answer = fixture.Ask(
+      Get("/a", "Host: h\r\nNote: one\r\n  two\r\n" + std::string(kClose)));
+  cr_expect_neq(answer.find("note=one two"), std::string::npos, "%s",
+                answer.c_str());
+}
+
+Test(http_server, takes_the_host_of_an_absolute_target) {
+  const Fixture fixture;
+  const std::string answer =
+      fixture.Ask(Get("http://inner.example/a/b?c=1",
+                      "Host: outer.example\r\n" + std::string(kClose)));
+  cr_expect_neq(answer.find("[GET /a/b?c=1 host=inner.example"),
+                std::string::npos, "%s", answer.c_str());
+  const std::string whole = fixture.Ask("OPTIONS * HTTP/1.1\r\nHost: h\r\n" +
+                                        std::string(kClose) + "\r\n");
+  cr_expect_eq(whole.rfind("HTTP/1.1 400", 0), 0, "%s", whole.c_str());
+}
+
+Test(http_server, tells_a_caller_that_waits_for_leave_to_go_on) {
+  const Fixture fixture;
+  const RawCaller caller(fixture.server->port());
+  caller.Write(
+      "POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+      "Content-Length: 3\r\n\r\n");
+  const std::string leave = caller.ReadUntil("\r\n\r\n");
+  cr_expect_eq(leave, "HTTP/1.1 100 Continue\r\n\r\n", "%s", leave.c_str());
+  caller.Write("abc");
+  const std::string answer = caller.ReadUntil("body=3]");
+  cr_expect_neq(answer.find("body=3]"), std::string::npos, "%s",
+                answer.c_str());
+  const std::string odd =
+      fixture.Ask(Get("/a", "Host: h\r\nExpect: 200-ok\r\n"));
+  cr_expect_eq(odd.rfind("HTTP/1.1 417", 0), 0, "%s", odd.c_str());
+}
+
+Test(http_server, closes_the_longest_idle_connection_for_a_new_one) {
+  const Fixture fixture({2, 1'000});
+  const RawCaller first(fixture.server->port());
+  first.Write(Get("/first", "Host: h\r\n"));
+  first.ReadUntil("]");
+  const RawCaller second(fixture.server->port());
+  second.Write(Get("/second", "Host: h\r\n"));
+  second.ReadUntil("]");
+  const std::string third =
+      fixture.Ask(Get("/third", "Host: h\r\n" + std::string(kClose)));
+  cr_expect_neq(third.find("/third"), std::string::npos, "%s", third.c_str());
+  cr_expect(first.IsClosedByServer());
+}
+
+Test(http_server, refuses_at_once_when_all_connections_are_busy) {
+  const Fixture fixture({1, 1'000});
+  fixture.handler->Hold(true);
+  const RawCaller busy(fixture.server->port());
+  busy.Write(Get("/busy", "Host: h\r\n"));
+  cr_assert(fixture.HasHandled(1));
+  const std::string refused = fixture.Ask(Get("/more", "Host: h\r\n"));
+  cr_expect_eq(refused.rfind("HTTP/1.1 503", 0), 0, "%s", refused.c_str());
+  cr_expect_neq(refused.find("not_run"), std::string::npos);
+  fixture.handler->Hold(false);
+  const std::string answer = busy.ReadUntil("]");
+  cr_expect_neq(answer.find("/busy"), std::string::npos, "%s", answer.c_str());
+}
+
+Test(http_server, does_not_spin_at_the_limit_of_descriptors) {
+  const Fixture fixture;
+  std::vector<RawCaller> idle;
+  constexpr rlim_t kLimit = 64;
+  rlimit limit{};
+  cr_assert_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
+  limit.rlim_cur = kLimit;
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+  // Both ends of each connection take a descriptor of this process.
+  for (rlim_t i = 0; i < kLimit; ++i) idle.emplace_back(fixture.server->port());
+  const auto begun = kernel::Clock::now();
+  const std::string answer = idle.front().ReadToEnd();
+  cr_expect(answer.empty(), "the longest idle connection makes room");
+  std::size_t closed = 0;
+  while (fixture.server->FailedAccepts() < 3 && closed < idle.size())
+    closed += idle[closed].IsClosedByServer() ? 1 : 0;
+  const auto took = kernel::Clock::now() - begun;
+  constexpr kernel::Millis kPause{50};
+  cr_expect_leq(fixture.server->FailedAccepts(),
+                static_cast<std::uint64_t>(took / kPause) + 2);
+}
+
+Test(http_server, holds_a_body_back_until_there_is_memory_for_it) {
+  constexpr std::size_t kBytes = 600;
+  const Fixture fixture({16, 1'000});
+  const std::string post = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                           std::to_string(kBytes) + "\r\n\r\n" +
+                           std::string(kBytes, 'x');
+  fixture.handler->Hold(true);
+  const RawCaller first(fixture.server->port());
+  first.Write(post);
+  cr_assert(fixture.HasHandled(1));
+  const RawCaller second(fixture.server->port());
+  second.Write(post);
+  // A request without a body overtakes it.
+  const RawCaller third(fixture.server->port());
+  third.Write(Get("/b", "Host: h\r\n"));
+  cr_assert(fixture.HasHandled(2));
+  fixture.handler->Hold(false);
+  cr_expect_neq(third.ReadUntil("]").find("/b"), std::string::npos);
+  cr_expect_neq(first.ReadUntil("]").find("body=600"), std::string::npos);
+  cr_expect_neq(second.ReadUntil("]").find("body=600"), std::string::npos);
+}
+
+Test(http_server, refuses_a_body_that_can_never_have_memory) {
+  const Fixture fixture({16, 1'000});
+  const std::string stated = fixture.Ask(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
+  cr_expect_eq(stated.rfind("HTTP/1.1 503", 0), 0, "%s", stated.c_str());
+}
+
+}  // namespace banyanlane::http
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -29,6 +29,8 @@
   kLinkSilent = 302,
   kLinkFrameRefused = 303,
   kLinkPeerRefused = 304,
+  kAcceptFailing = 310,
+  kAcceptRecovered = 311,
   kRequestEnded = 400,
   kRequestRefused = 401,
   kRequestRetried = 402,
