Let a busy lead finish, begin anew when fenced, and send nothing into a service that stands

The next rank took over, stopped leading when the first one woke, and that one stood back for longer than a lease. All requests of those seconds were sent to silent endpoints and left when their callers did.

Excluded: orders from afar for silent agents.

Change: LeadClaim decides who leads, and lets a lead end what it changes; a fenced lead begins from following; lease 1 s, commands each 0.1 s. The pool counts a service whose streams are all silent for 0.6 s as closed. RankHand holds an agent and its engine, and logs when that can't be read.

--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -15,6 +15,8 @@
 
 /// How often peers are told of the requests in flight.
 constexpr kernel::Millis kPublishPeriod{500};
+/// How often those that wait are looked at, besides when a request ends.
+constexpr kernel::Millis kLetInPeriod{100};
 
 /// The gateway role: takes callers' requests and sends them to endpoints.
 class DirectModule : public kernel::IModule {
@@ -49,7 +51,11 @@
       this->ApplyLimits(config->caller_limits);
     this->runtime->Every(kPublishPeriod,
                          [service = this->service](kernel::TimePoint now) {
-                           service->OnTick(now);
+                           service->Publish(now);
+                         });
+    this->runtime->Every(kLetInPeriod,
+                         [service = this->service](kernel::TimePoint now) {
+                           service->LetAllIn(now);
                          });
     kernel::LogEvent(kernel::EventId::kProcessReady,
                      {{"listen", this->listen}});
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -66,6 +66,7 @@
   for (DirectAction& action : decided) {
     if (const auto* report = std::get_if<Report>(&action)) {
       kernel::LogEvent(report->event, report->fields);
+      this->Count(*report);
       continue;
     }
     const bool for_endpoint = std::holds_alternative<CallEndpoint>(action) ||
@@ -81,6 +82,18 @@
   if (wake) this->notifier->Notify();
 }
 
+void DirectRunner::Count(const Report& report) {
+  const std::string& service = this->flow->work().service;
+  if (report.event == kernel::EventId::kRequestRetried) {
+    this->environment.metrics->Count("banyanlane_retries_total{service=\"" +
+                                     service + "\"}");
+  }
+  if (report.event != kernel::EventId::kRequestEnded) return;
+  this->environment.metrics->Count(
+      "banyanlane_requests_total{service=\"" + service + "\",outcome=\"" +
+      kernel::FieldOf(report.fields, "outcome") + "\"}");
+}
+
 void DirectRunner::ActAll() {
   while (true) {
     DirectActions batch;
--- a/src/direct/internal/direct_runner.h
+++ b/src/direct/internal/direct_runner.h
@@ -8,6 +8,7 @@
 #include "direct/internal/direct_flow.h"
 #include "http/i_http_handler.h"
 #include "http/i_http_runtime.h"
+#include "kernel/metrics.h"
 
 namespace banyanlane::direct {
 
@@ -22,11 +23,15 @@
     EndpointPool* pool = nullptr;
     /// Told after a request has left an endpoint of `service`.
     std::function<void(const std::string& service)> on_room;
+    std::shared_ptr<kernel::Metrics> metrics;
   };
 
   DirectRunner(Environment environment, std::unique_ptr<DirectFlow> flow,
                std::shared_ptr<http::INotifier> notifier);
 
+  /// Returns when the request came.
+  kernel::TimePoint begun() const { return this->begun_at; }
+
   /// Calls `decide` on the flow under its lock, then carries out its actions
   /// without the lock, in the order decided.
   template <typename Decision>
@@ -53,6 +58,7 @@
  private:
   class Observer;
 
+  void Count(const Report& report);
   void Sort(DirectActions decided);
   void ActAll();
   void Act(const CallEndpoint& action);
@@ -61,6 +67,7 @@
   template <typename Other>
   void Act(const Other& /*action*/) {}
 
+  kernel::TimePoint begun_at = kernel::Clock::now();
   Environment environment;
   std::mutex mutex;
   std::unique_ptr<DirectFlow> flow;
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -63,7 +63,8 @@
 void DirectService::OnInstances(const membership::InstanceListPtr& list,
                                 kernel::TimePoint now) {
   this->pool.OnInstances(*list);
-  this->OnTick(now);
+  this->Publish(now);
+  this->LetAllIn(now);
 }
 
 std::shared_ptr<const RouteTable> DirectService::Routes() {
@@ -199,6 +200,7 @@
   environment.on_room = [this](const std::string& service) {
     this->LetIn(service, kernel::Clock::now());
   };
+  environment.metrics = this->metrics;
   const auto runner = std::make_shared<DirectRunner>(
       std::move(environment),
       std::make_unique<DirectFlow>(context, std::move(work), number),
@@ -256,6 +258,10 @@
     if (auto* head = std::get_if<PassHead>(&action)) {
       if (this->LeavingSince()) exchange.CloseAfterAnswer();
       taken = exchange.BeginStream(head->status, head->headers);
+      this->metrics->ObserveMillis("banyanlane_first_part_millis",
+                                   std::chrono::duration<double, std::milli>(
+                                       kernel::Clock::now() - runner.begun())
+                                       .count());
     }
     if (auto* events = std::get_if<PassEvents>(&action))
       taken = exchange.WriteChunk(events->text);
@@ -282,8 +288,7 @@
   }
 }
 
-void DirectService::OnTick(kernel::TimePoint now) {
-  this->Publish(now);
+void DirectService::LetAllIn(kernel::TimePoint now) {
   for (const std::string& service : this->line.Services())
     this->LetIn(service, now);
 }
@@ -294,6 +299,19 @@
   state.leaving = this->LeavingSince().has_value();
   state.in_flight = this->pool.InFlight();
   this->peers->Publish(std::move(state), now);
+  this->SetGauges(now);
+}
+
+void DirectService::SetGauges(kernel::TimePoint now) {
+  const auto set = [this](std::string_view name, std::size_t value) {
+    this->metrics->SetGauge(name, static_cast<double>(value));
+  };
+  set("banyanlane_requests_in_flight", this->InFlight());
+  set("banyanlane_gateways_live", this->peers->Live(now).size() + 1);
+  const auto table = this->Routes();
+  const auto revision = table ? table->config()->revision : 0;
+  set("banyanlane_config_revision", static_cast<std::size_t>(revision));
+  set("banyanlane_requests_waiting", this->waiting.Size());
 }
 
 void DirectService::Drain(kernel::TimePoint now) {
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -57,8 +57,10 @@
   void OnConfig(const config::ConfigPtr& config);
   void OnInstances(const membership::InstanceListPtr& list,
                    kernel::TimePoint now);
-  /// Tells peers how things stand, and lets those in with room.
-  void OnTick(kernel::TimePoint now);
+  /// Tells peers how things stand.
+  void Publish(kernel::TimePoint now);
+  /// Sends those that wait and have room now.
+  void LetAllIn(kernel::TimePoint now);
 
   void Drain(kernel::TimePoint now);
   std::string Pending(kernel::TimePoint now);
@@ -91,7 +93,7 @@
   void LetIn(const std::string& service, kernel::TimePoint now);
   std::shared_ptr<const RouteTable> Routes();
   std::optional<kernel::TimePoint> LeavingSince();
-  void Publish(kernel::TimePoint now);
+  void SetGauges(kernel::TimePoint now);
 
   GatewaySettings settings;
   std::shared_ptr<http::IHttpRuntime> runtime;
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -116,6 +116,8 @@
 EndpointPool::Endpoint* EndpointPool::Best(Service& service,
                                            const std::set<std::string>& avoid,
                                            kernel::TimePoint now) const {
+  // Streams that are under way show when the service goes on.
+  if (service.stands && service.in_flight > 0) return nullptr;
   if (this->IsClosed(service) && now < service.closed_until) return nullptr;
   std::vector<Endpoint*> best;
   double best_load = 0;
@@ -148,8 +150,11 @@
   const auto found = this->Find(service);
   if (!found) return std::nullopt;
   const std::lock_guard<std::mutex> lock(found->mutex);
+  this->CheckStanding(*found, now);
   Endpoint* best = this->Best(*found, avoid, now);
   if (best == nullptr) return std::nullopt;
+  if (found->in_flight == 0) found->moved_at = now;
+  ++found->in_flight;
   ++best->in_flight;
   // This one tries whether the service is open; others wait for what it meets.
   if (this->IsClosed(*found))
@@ -161,6 +166,7 @@
   const auto found = this->Find(service);
   if (!found) return false;
   const std::lock_guard<std::mutex> lock(found->mutex);
+  this->CheckStanding(*found, now);
   return this->Best(*found, {}, now) != nullptr;
 }
 
@@ -178,7 +184,19 @@
 }
 
 bool EndpointPool::IsClosed(const Service& service) const {
-  return service.refusals_in_a_row >= this->limits.refusals_to_close;
+  return service.stands ||
+         service.refusals_in_a_row >= this->limits.refusals_to_close;
+}
+
+void EndpointPool::CheckStanding(Service& service,
+                                 kernel::TimePoint now) const {
+  const bool is_silent = service.has_streams && service.in_flight > 0 &&
+                         now - service.moved_at > this->limits.standing;
+  if (!is_silent || service.stands) return;
+  const auto busy = std::count_if(
+      service.endpoints.begin(), service.endpoints.end(),
+      [](const auto& entry) { return entry.second.in_flight > 0; });
+  service.stands = busy >= this->limits.endpoints_to_stand;
 }
 
 bool EndpointPool::IsClosed(const std::string& service) {
@@ -209,6 +227,7 @@
   const auto found = this->Find(choice.service);
   if (!found) return;
   const std::lock_guard<std::mutex> lock(found->mutex);
+  --found->in_flight;
   const auto known = found->endpoints.find(choice.id);
   if (known == found->endpoints.end()) return;
   Endpoint& endpoint = known->second;
@@ -226,6 +245,8 @@
   if (result == AttemptResult::kAnswered) {
     endpoint.failures_in_a_row = 0;
     found->refusals_in_a_row = 0;
+    found->stands = false;
+    found->moved_at = now;
   }
   if (result == AttemptResult::kFull) this->CountRefusal(*found, now);
   if (result == AttemptResult::kFull)
@@ -242,6 +263,9 @@
   const auto known = found->endpoints.find(choice.id);
   if (known != found->endpoints.end()) known->second.progressed_at = now;
   found->refusals_in_a_row = 0;
+  found->has_streams = true;
+  found->stands = false;
+  found->moved_at = now;
 }
 
 bool EndpointPool::OthersProgress(const EndpointChoice& choice,
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -59,6 +59,11 @@
   /// has formed anew. One request at a time then tries whether it is open.
   int refusals_to_close = 3;
   kernel::Millis closed_pause{200};
+  /// A service whose streams are all silent for this long stands: its ranks
+  /// wait for one that can't go on. Many times the pause between two events.
+  kernel::Millis standing{600};
+  /// Silent endpoints that it takes to say so of a service.
+  int endpoints_to_stand = 3;
   /// Failures in a row after which an endpoint is left alone for a while.
   int failures_to_eject = 2;
 };
@@ -89,7 +94,8 @@
   /// Returns whether Choose would find an endpoint.
   bool HasRoom(const std::string& service, kernel::TimePoint now);
 
-  /// Returns whether all endpoints of `service` refuse what they are sent.
+  /// Returns whether all endpoints of `service` refuse what they are sent, or
+  /// are silent.
   bool IsClosed(const std::string& service);
 
   /// Returns whether `service` has any endpoint besides those in `avoid` that
@@ -132,6 +138,10 @@
     std::map<std::string, Endpoint> endpoints;  ///< By id.
     std::minstd_rand random;
     int refusals_in_a_row = 0;
+    std::int64_t in_flight = 0;
+    bool has_streams = false;
+    bool stands = false;         ///< Until an event comes.
+    kernel::TimePoint moved_at;  ///< Last event, or begin of the first request.
     kernel::TimePoint closed_until;
   };
 
@@ -145,6 +155,8 @@
   Endpoint* Best(Service& service, const std::set<std::string>& avoid,
                  kernel::TimePoint now) const;
   bool IsClosed(const Service& service) const;
+  /// Notes whether the service stands.
+  void CheckStanding(Service& service, kernel::TimePoint now) const;
   void CountRefusal(Service& service, kernel::TimePoint now) const;
   void OnFailure(Endpoint& endpoint, kernel::TimePoint now) const;
 
--- a/src/direct/tests/direct_flow_test.cc
+++ b/src/direct/tests/direct_flow_test.cc
@@ -369,6 +369,45 @@
     cr_assert(pool.Choose("model", {}, now + Millis(300)).has_value());
 }
 
+// The load it answers: all requests of the seconds in which a group waits for
+// one of its ranks. Those sent would be silent until their callers leave; those
+// held back are told when to come, or begin as soon as the group goes on.
+Test(endpoint_pool, sends_nothing_while_all_streams_of_a_service_are_silent) {
+  EndpointPool pool(
+      "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+      [](const std::string&) { return 1.0; });
+  pool.OnInstances(ListOf(16));
+  TimePoint now = kStart;
+  std::vector<EndpointChoice> sent;
+  for (int i = 0; i < 4; ++i) sent.push_back(*pool.Choose("model", {}, now));
+  pool.OnProgress(sent[0], now);
+  now += Millis(500);
+  sent.push_back(*pool.Choose("model", {}, now));
+  now += Millis(200);
+  cr_assert_not(pool.Choose("model", {}, now).has_value());
+  cr_assert(pool.IsClosed("model"));
+  // All callers leave: one request tries whether the service goes on.
+  for (const EndpointChoice& choice : sent)
+    pool.Release(choice, AttemptResult::kCancelled, now);
+  now += Millis(1'000);
+  const auto probe = pool.Choose("model", {}, now);
+  cr_assert(probe.has_value());
+  cr_assert_not(pool.Choose("model", {}, now).has_value());
+  pool.OnProgress(*probe, now);
+  cr_assert_not(pool.IsClosed("model"));
+  cr_assert(pool.Choose("model", {}, now).has_value());
+}
+
+Test(endpoint_pool, goes_on_beside_one_silent_endpoint) {
+  EndpointPool pool(
+      "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+      [](const std::string&) { return 1.0; });
+  pool.OnInstances(ListOf(16));
+  const auto silent = pool.Choose("model", {}, kStart);
+  pool.OnProgress(*silent, kStart);
+  cr_assert(pool.Choose("model", {}, kStart + Millis(5'000)).has_value());
+}
+
 Test(endpoint_pool, gives_no_work_to_a_leaving_endpoint) {
   EndpointPool pool(
       "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
--- a/src/experts/experts_module.cc
+++ b/src/experts/experts_module.cc
@@ -28,7 +28,9 @@
     this->service = std::make_shared<RankService>(
         settings.Text("node", "id"), settings.Text("rank", "engine"),
         RankServiceLimits{}, GroupLeadLimits{}, context.Resolve<IRankEngine>(),
-        context.Resolve<peers::IPeers>(), kernel::Hash64(kernel::RandomId()));
+        context.Resolve<peers::IPeers>(), context.Resolve<kernel::Metrics>(),
+        kernel::Hash64(kernel::RandomId()));
+    this->service->Open();
     context.Resolve<link::ILinkHub>()->Subscribe(this->service);
     const std::string served = settings.Text("rank", "service");
     context.Resolve<config::IConfigStore>()->Subscribe(
--- a/src/experts/internal/group_lead.cc
+++ b/src/experts/internal/group_lead.cc
@@ -471,10 +471,11 @@
     this->GiveUp("ranks follow another lead", now);
     this->next_plan = now + this->limits.step_down;
   }
-  // An engine has refused this fence for a higher one that it has met.
+  // An engine has refused this fence for a higher one that it has met: another
+  // lead may have undone what this one has seen.
   const bool is_fenced =
       this->stage != Stage::kWatching && this->highest_fence > this->fence;
-  if (is_fenced) this->RaiseFence();
+  if (is_fenced) this->BeginAttempt(now);
   this->Advance(own_rank, now);
   std::vector<Send> sends;
   if (this->stage == Stage::kWatching) return sends;
--- a/src/experts/internal/group_lead.h
+++ b/src/experts/internal/group_lead.h
@@ -29,7 +29,7 @@
   kernel::Millis hold{800};
   kernel::Millis arm{1'500};
   /// Commands are repeated after this.
-  kernel::Millis repeat{250};
+  kernel::Millis repeat{100};
   kernel::Millis plan_period{100};
   /// Part of the time that another map must save over the planned one, for the
   /// ranks to copy for that one instead.
@@ -37,7 +37,7 @@
   /// After an attempt that was given up.
   kernel::Millis pause{600};
   /// After ranks were found to follow another lead: longer than a lease.
-  kernel::Millis step_down{4'000};
+  kernel::Millis step_down{1'400};
   /// Part of the time that a new map must save.
   double least_saving = 0.06;
   /// Choices that must have been counted before a map is planned.
--- a/src/experts/internal/rank_agent.h
+++ b/src/experts/internal/rank_agent.h
@@ -12,8 +12,10 @@
 
 /// How a rank agent deals with its engine and its lead.
 struct RankAgentLimits {
-  /// A lead that says nothing for this long may be replaced.
-  kernel::Millis lease{3'000};
+  /// A lead that says nothing for this long may be replaced: ten of its
+  /// repeated commands, and half the time that callers wait for a silent
+  /// stream.
+  kernel::Millis lease{1'000};
   /// An order without an answer counts as lost after this: many times a local
   /// call's duration.
   kernel::Millis order{120};
--- a/src/experts/internal/rank_service.h
+++ b/src/experts/internal/rank_service.h
@@ -9,25 +9,22 @@
 
 #include "experts/i_rank_engine.h"
 #include "experts/internal/group_lead.h"
-#include "experts/internal/rank_agent.h"
+#include "experts/internal/lead_claim.h"
+#include "experts/internal/rank_hand.h"
+#include "kernel/metrics.h"
 #include "link/i_link.h"
 #include "peers/i_peers.h"
 
 namespace banyanlane::experts {
 
-/// How often a rank agent looks at its engine.
+/// How a rank agent deals with its engine and with other agents.
 struct RankServiceLimits {
-  kernel::Millis calm_poll{250};  ///< While no change is under way.
-  kernel::Millis busy_poll{20};   ///< While one is.
+  RankPollLimits poll;
   kernel::Millis counts_poll{120};
-  kernel::Millis answer{400};     ///< Bound on one read.
+  kernel::Millis status{250};     ///< Statements to other agents.
   kernel::Millis publish{1'000};  ///< Statements to gateways.
   /// Statements of a lead to the agents that it does not command now.
-  kernel::Millis lead_statement{500};
-  /// The agent of rank 0 leads when no other lead has been heard of for this
-  /// long; each further rank waits longer by the second figure.
-  kernel::Millis lead_after{1'200};
-  kernel::Millis lead_stagger{500};
+  kernel::Millis lead_statement{300};
 };
 
 /// Binds a rank agent, and the lead of its group when this process is it, to
@@ -40,7 +37,11 @@
               const RankServiceLimits& limits,
               const GroupLeadLimits& lead_limits,
               std::shared_ptr<IRankEngine> engine,
-              std::shared_ptr<peers::IPeers> peers, std::uint64_t seed);
+              std::shared_ptr<peers::IPeers> peers,
+              std::shared_ptr<kernel::Metrics> metrics, std::uint64_t seed);
+
+  /// Binds to the engine. Call once, before anything else.
+  void Open();
 
   /// Sets what maps may look like.
   void SetBounds(std::size_t places, std::size_t spare);
@@ -61,20 +62,19 @@
   };
   using Outbox = std::vector<Outgoing>;
 
-  void Poll(kernel::TimePoint now);
-  void OnReport(const kernel::Result<RankReport>& result);
+  void OnStatus(const link::LinkPtr& link, const link::RankStatus& status,
+                kernel::TimePoint now);
+  void OnHandChanged();
+  void ReadCounts(kernel::TimePoint now);
   void OnCounts(const kernel::Result<RankCounts>& result);
-  void OnExperts(const kernel::Result<RankExperts>& result);
-  void OnOrderOutcome(OrderOutcome outcome);
-  /// Sends the order that is missing, if any, and the state to the lead.
-  void Act(Outbox& outbox, kernel::TimePoint now);
-  void Lead(Outbox& outbox, kernel::TimePoint now);
-  bool IsLead(kernel::TimePoint now) const;
-  void ReportStatus(Outbox& outbox, kernel::TimePoint now);
   void SendCounts(const RankCounts& counts, Outbox& outbox,
                   kernel::TimePoint now);
-  void OnCommand(const link::SwitchCommand& command, Outbox& outbox,
-                 kernel::TimePoint now);
+  void UpdateLeading(kernel::TimePoint now);
+  void Lead(Outbox& outbox, kernel::TimePoint now);
+  void Pass(GroupLead::Send send, Outbox& outbox, kernel::TimePoint now);
+  void ReportStatus(Outbox& outbox, kernel::TimePoint now);
+  /// Tells gateways of the engine, and keeps links to all ranks while it leads.
+  void Publish(bool is_lead, double pace);
   static void Deliver(const Outbox& outbox);
 
   std::string node;
@@ -82,8 +82,9 @@
   RankServiceLimits limits;
   std::shared_ptr<IRankEngine> engine;
   std::shared_ptr<peers::IPeers> peers;
+  std::shared_ptr<kernel::Metrics> metrics;
+  std::shared_ptr<RankHand> own;
   std::mutex mutex;  ///< Of all that follows.
-  RankAgent agent;
   GroupLead lead;
   std::vector<link::LinkPtr> links;                ///< To other rank agents.
   std::map<std::uint64_t, link::LinkPtr> by_rank;  ///< As last heard.
@@ -91,14 +92,11 @@
   std::vector<std::uint64_t> counts_sent;
   std::optional<link::RankStatus> last_status;
   kernel::TimePoint status_sent_at;
-  kernel::TimePoint next_report;
   kernel::TimePoint next_counts;
   kernel::TimePoint next_publish;
-  kernel::TimePoint lower_rank_seen;  ///< A lead beside a lower rank.
+  LeadClaim claim;
   bool leading = false;
-  bool reading_report = false;
   bool reading_counts = false;
-  bool reading_experts = false;
 };
 
 }  // namespace banyanlane::experts
--- a/src/experts/tests/group_switch_test.cc
+++ b/src/experts/tests/group_switch_test.cc
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "experts/internal/group_lead.h"
+#include "experts/internal/lead_claim.h"
 #include "experts/internal/map_codec.h"
 #include "experts/internal/rank_agent.h"
 
@@ -39,6 +40,10 @@
   double freezes_per_second = 0;
   bool two_leads = false;
   bool idles = false;
+  /// A higher rank leads only while lower ones are silent.
+  bool takes_over = false;
+  /// Rank 0 freezes whenever it keeps the group from going on.
+  bool holder_freezes = false;
 };
 
 /// A group of ranks with its agents, one or two leads, and a clock.
@@ -46,7 +51,12 @@
  public:
   Group(const Faults& faults, std::uint64_t seed)
       : faults(faults), random(seed) {
-    for (std::size_t rank = 0; rank < kRanks; ++rank) this->Restart(rank);
+    ExpertMap first(1);
+    for (std::size_t rank = 0; rank < kRanks; ++rank) {
+      this->Restart(rank);
+      first[0].push_back({rank, rank + kRanks});
+    }
+    this->content[0] = FlattenMap(first);
   }
 
   /// @return the first broken promise, or "".
@@ -56,9 +66,15 @@
     return this->broken;
   }
 
-  void StopFaults() { this->faults = Faults{}; }
+  void StopFaults() {
+    const bool takes_over = this->faults.takes_over;
+    this->faults = Faults{};
+    this->faults.takes_over = takes_over;
+  }
   int Changes() const { return this->changes; }
   std::uint64_t Passes() const { return this->step; }
+  /// Returns the longest time from the end of rank 0's freeze to a pass.
+  Millis LongestStand() const { return this->longest_stand; }
 
  private:
   struct Process {
@@ -66,6 +82,7 @@
     std::unique_ptr<GroupLead> lead;
     TimePoint frozen_until;
     TimePoint next_report;
+    LeadClaim claim{TimePoint{}};
   };
   struct Message {
     TimePoint at;
@@ -96,11 +113,15 @@
     limits.least_choices = 10;
     process.lead = std::make_unique<GroupLead>(
         limits, "lead" + std::to_string(++this->lives), this->random());
+    process.claim = LeadClaim(this->now);
     ++this->life[rank];
   }
 
-  bool Leads(std::size_t rank) const {
-    return rank == 0 || (this->faults.two_leads && rank == 1);
+  bool Leads(std::size_t rank) {
+    if (!this->faults.takes_over)
+      return rank == 0 || (this->faults.two_leads && rank == 1);
+    Process& process = this->processes[rank];
+    return process.claim.Decide(rank, process.lead->IsBusy(), this->now);
   }
 
   void Step() {
@@ -128,6 +149,12 @@
     for (const Engine& engine : this->engines) {
       if (engine.held && *engine.held <= next) return;
     }
+    const TimePoint woke_at = this->processes[0].frozen_until;
+    if (this->pass_at < woke_at && woke_at < this->now)
+      this->longest_stand =
+          std::max(this->longest_stand,
+                   std::chrono::duration_cast<Millis>(this->now - woke_at));
+    this->pass_at = this->now;
     this->next_pass = this->now + this->Between(30, 90);
     this->step = next;
     bool changed = false;
@@ -155,8 +182,12 @@
       engine.highest = prepare->version;
       engine.prepared.reset();
       engine.copying = prepare->version;
-      engine.copied_at = this->now + this->Between(0, 300);
+      const std::uint64_t in_use = engine.map;
       this->content[prepare->version] = FlattenMap(prepare->map);
+      // Only weights that the rank does not have are copied.
+      const bool same =
+          this->content[in_use] == this->content[prepare->version];
+      engine.copied_at = this->now + (same ? Millis(0) : this->Between(0, 300));
     }
     if (const auto* arm = std::get_if<ArmOrder>(&sent.order)) {
       if (engine.prepared != arm->version || this->step >= arm->step)
@@ -196,7 +227,11 @@
     for (std::size_t rank = 0; rank < kRanks; ++rank) {
       if (this->Chance(this->faults.kills_per_second * tick_s))
         this->Restart(rank);
-      if (this->Chance(this->faults.freezes_per_second * tick_s))
+      const bool holds = rank == 0 && this->engines[0].held.has_value();
+      const bool is_hit = holds && this->faults.holder_freezes &&
+                          this->now > this->processes[0].frozen_until &&
+                          this->Chance(0.1);
+      if (is_hit || this->Chance(this->faults.freezes_per_second * tick_s))
         this->processes[rank].frozen_until =
             this->now + this->Between(500, 5'000);
     }
@@ -219,10 +254,16 @@
               std::get_if<link::SwitchCommand>(&taken.message))
         process.agent->OnCommand(*command, this->now);
       if (const auto* status = std::get_if<link::RankStatus>(&taken.message))
-        process.lead->OnStatus(*status, this->now);
+        this->OnStatus(taken.to, *status);
     }
   }
 
+  void OnStatus(std::size_t to, const link::RankStatus& status) {
+    Process& process = this->processes[to];
+    if (status.rank < to) process.claim.OnLowerRank(this->now);
+    process.lead->OnStatus(status, this->now);
+  }
+
   void Send(std::size_t from, std::size_t to, link::Message message) {
     // Links keep the order of their messages.
     TimePoint at = this->now + this->Between(1, 6);
@@ -273,26 +314,29 @@
         process.agent->OnExperts(this->ExpertsOf(rank));
       const auto status = process.agent->Status(this->now);
       for (std::size_t lead = 0; lead < kRanks; ++lead) {
-        if (!this->Leads(lead)) continue;
+        if (!this->faults.takes_over && !this->Leads(lead)) continue;
         if (lead == rank)
           process.lead->OnStatus(*status, this->now);
         else
           this->Send(rank, lead, *status);
       }
     }
-    if (const auto order = process.agent->NextOrder(this->now)) {
-      const bool late = this->Chance(this->faults.late_orders);
-      if (late) {
-        this->late.push_back(
-            {this->now + this->Between(2'000, 12'000), rank, *order});
-        process.agent->OnOrderOutcome(OrderOutcome::kNoAnswer, this->now);
-      } else {
-        process.agent->OnOrderOutcome(this->Apply(rank, *order), this->now);
-      }
-    }
+    this->GiveOrder(*process.agent, rank);
     if (this->Leads(rank)) this->RunLead(rank);
   }
 
+  void GiveOrder(RankAgent& agent, std::size_t rank) {
+    const auto order = agent.NextOrder(this->now);
+    if (!order) return;
+    if (this->Chance(this->faults.late_orders)) {
+      this->late.push_back(
+          {this->now + this->Between(2'000, 12'000), rank, *order});
+      agent.OnOrderOutcome(OrderOutcome::kNoAnswer, this->now);
+      return;
+    }
+    agent.OnOrderOutcome(this->Apply(rank, *order), this->now);
+  }
+
   void RunLead(std::size_t rank) {
     Process& process = this->processes[rank];
     // Demand moves from expert to expert, so that there is always a better map.
@@ -327,6 +371,8 @@
   std::uint64_t lives = 0;
   std::uint64_t step = 0;
   TimePoint next_pass;
+  TimePoint pass_at;
+  Millis longest_stand{0};
   std::vector<Message> messages;
   std::vector<LateOrder> late;
   std::string broken;
@@ -374,4 +420,28 @@
   PlayAll(Faults{0.2, 0.1, 0.1, true, true}, 0);
 }
 
+Test(group_switch, keeps_one_map_when_leads_take_over_from_frozen_ones) {
+  PlayAll(Faults{0.2, 0.1, 0.1, false, true, true, true}, 0);
+}
+
+Test(group_switch, goes_on_soon_after_the_holder_wakes) {
+  // Callers leave a stream that is silent for two seconds, of which the freeze
+  // has used most.
+  constexpr Millis kSoon{500};
+  int changes = 0;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    Faults faults;
+    faults.takes_over = true;
+    faults.holder_freezes = true;
+    Group group(faults, static_cast<std::uint64_t>(seed));
+    const std::string broken = group.Run(kLength);
+    cr_expect_eq(broken, "", "seed %d: %s", seed, broken.c_str());
+    changes += group.Changes();
+    cr_expect_lt(group.LongestStand().count(), kSoon.count(),
+                 "seed %d stood for %lld ms", seed,
+                 static_cast<long long>(group.LongestStand().count()));
+  }
+  cr_expect_gt(changes, kSeeds);
+}
+
 }  // namespace banyanlane::experts
--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -126,6 +126,10 @@
        "All ranks use the new expert map."},
       {EventId::kMapAbandoned, "map_abandoned", Level::kWarning,
        "A change of expert maps was given up; the old map stays."},
+      {EventId::kEngineUnreadable, "engine_unreadable", Level::kWarning,
+       "A rank's engine does not tell its state."},
+      {EventId::kEngineReadable, "engine_readable", Level::kInfo,
+       "A rank's engine tells its state again."},
   };
   return rows;
 }
@@ -155,4 +159,13 @@
   spdlog::log(SpdlogLevel(row.level), "{}", line);
 }
 
+std::string_view EventName(EventId id) { return RowOf(id).name; }
+
+std::string FieldOf(const EventFields& fields, std::string_view name) {
+  for (const auto& [key, value] : fields) {
+    if (key == name) return value;
+  }
+  return "";
+}
+
 }  // namespace banyanlane::kernel
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -51,6 +51,8 @@
   kMapPlanned = 531,
   kMapChanged = 532,
   kMapAbandoned = 533,
+  kEngineUnreadable = 534,
+  kEngineReadable = 535,
 };
 
 /// Severity of an event.
@@ -67,6 +69,12 @@
 /// Fields of one event, in the order written.
 using EventFields = std::vector<std::pair<std::string, std::string>>;
 
+/// Returns the name of `id` in the catalogue.
+std::string_view EventName(EventId id);
+
+/// Returns the value of the field `name`, or "".
+std::string FieldOf(const EventFields& fields, std::string_view name);
+
 /// Returns every event, in order of number.
 const std::vector<EventRow>& EventCatalogue();
 
