Free the ranks of a lead that stands back

The lead woke, first told its own rank to undo the change, then found the others following the next rank and gave up; its own rank obeyed it for the rest of the lease, 1 s, just as long as the next lead waited for all to follow. Both gave up, and the group stood until the third attempt.

Change: a lead that gives an attempt up sends kLeave, after which its ranks obey whoever comes next; a lead waits 1.5 s for ranks to follow. Excluded: a shorter lease still, which statements lost on a bad link would end.

Test: rank_agent/obeys_the_next_lead_once_the_last_one_has_left.

--- a/src/experts/internal/group_lead.cc
+++ b/src/experts/internal/group_lead.cc
@@ -416,18 +416,25 @@
                           {"step", "none"},
                           {"reason", std::string(reason)}});
   this->planned.reset();
+  this->must_leave = true;
   this->next_plan = now + this->limits.pause;
   this->Enter(Stage::kWatching, now);
 }
 
-link::SwitchCommand GroupLead::CommandFor(std::uint64_t rank,
-                                          std::uint64_t own_rank) const {
+link::SwitchCommand GroupLead::LeaveCommand() const {
   link::SwitchCommand command;
   command.lead = this->name;
   command.fence = this->fence;
   command.number = this->number;
   command.group = this->group;
   command.epoch = this->epoch;
+  command.goal = SwitchGoal::kLeave;
+  return command;
+}
+
+link::SwitchCommand GroupLead::CommandFor(std::uint64_t rank,
+                                          std::uint64_t own_rank) const {
+  link::SwitchCommand command = this->LeaveCommand();
   command.version = this->version;
   command.step = this->step;
   const bool is_own = rank == own_rank;
@@ -477,15 +484,25 @@
       this->stage != Stage::kWatching && this->highest_fence > this->fence;
   if (is_fenced) this->BeginAttempt(now);
   this->Advance(own_rank, now);
-  std::vector<Send> sends;
-  if (this->stage == Stage::kWatching) return sends;
+  if (this->stage == Stage::kWatching && !this->must_leave) return {};
   const bool repeat = now - this->sent_at >= this->limits.repeat;
-  if (!this->must_send && !repeat) return sends;
+  if (!this->must_send && !repeat) return {};
   ++this->number;
   this->must_send = false;
   this->sent_at = now;
-  for (const auto& entry : this->ranks)
-    sends.push_back({entry.first, this->CommandFor(entry.first, own_rank)});
+  return this->ToAll(own_rank);
+}
+
+std::vector<GroupLead::Send> GroupLead::ToAll(std::uint64_t own_rank) {
+  const bool leaves = this->stage == Stage::kWatching;
+  if (leaves) this->must_leave = false;
+  std::vector<Send> sends;
+  sends.reserve(this->ranks.size());
+  for (const auto& entry : this->ranks) {
+    sends.push_back(
+        {entry.first, leaves ? this->LeaveCommand()
+                             : this->CommandFor(entry.first, own_rank)});
+  }
   return sends;
 }
 
--- a/src/experts/internal/group_lead.h
+++ b/src/experts/internal/group_lead.h
@@ -22,7 +22,7 @@
   kernel::Millis fresh{900};
   /// Ranks that do not follow, or hold, or arm within these make the lead give
   /// the attempt up.
-  kernel::Millis follow{1'000};
+  kernel::Millis follow{1'500};
   kernel::Millis prepare{5'000};
   /// A rank that refuses a version for this long has had a higher one.
   kernel::Millis refused{400};
@@ -130,6 +130,9 @@
 
   link::SwitchCommand CommandFor(std::uint64_t rank,
                                  std::uint64_t own_rank) const;
+  /// Returns a command that frees a rank from this lead.
+  link::SwitchCommand LeaveCommand() const;
+  std::vector<Send> ToAll(std::uint64_t own_rank);
   std::uint64_t Random(std::uint64_t below);
 
   bool IsRefused(std::uint64_t refused) const;
@@ -152,6 +155,7 @@
   kernel::TimePoint sent_at;
   kernel::TimePoint next_plan;
   bool must_send = false;
+  bool must_leave = false;  ///< The ranks are to obey others.
   std::uint64_t fence = 0;
   std::uint64_t highest_fence = 0;
   std::uint64_t number = 0;
--- a/src/experts/internal/rank_agent.cc
+++ b/src/experts/internal/rank_agent.cc
@@ -26,6 +26,7 @@
     const bool newer = received.number > this->command->number;
     if (newer) this->command = received;
     this->heard_at = now;
+    if (newer && received.goal == SwitchGoal::kLeave) this->command.reset();
     return true;
   }
   const bool same_lead = this->command && this->command->lead == received.lead;
@@ -81,6 +82,7 @@
   const RankReport& is = *this->report;
   switch (goal.goal) {
     case SwitchGoal::kFollow:
+    case SwitchGoal::kLeave:
       return std::nullopt;
     case SwitchGoal::kPrepare:
       return this->MissingPrepare(goal.version, now);
--- a/src/experts/tests/group_switch_test.cc
+++ b/src/experts/tests/group_switch_test.cc
@@ -240,7 +240,9 @@
   void DeliverMessages() {
     for (std::size_t i = 0; i < this->messages.size();) {
       const Message& message = this->messages[i];
-      const bool frozen = this->now < this->processes[message.to].frozen_until;
+      // A process that wakes runs its timers before it reads its connections.
+      const bool frozen =
+          this->now < this->processes[message.to].frozen_until + Millis(20);
       if (message.at > this->now || frozen) {
         ++i;
         continue;
@@ -444,4 +446,34 @@
   cr_expect_gt(changes, kSeeds);
 }
 
+// A lead that stands back must not keep its ranks from the next one for the
+// rest of its lease: the group may stand meanwhile.
+Test(rank_agent, obeys_the_next_lead_once_the_last_one_has_left) {
+  RankAgent agent(RankAgentLimits{});
+  RankReport report;
+  report.group = "g";
+  report.epoch = 1;
+  agent.OnReport(report);
+  const TimePoint now = TimePoint{} + std::chrono::hours(1);
+  link::SwitchCommand first;
+  first.lead = "first";
+  first.fence = 2;
+  first.number = 1;
+  first.group = "g";
+  first.epoch = 1;
+  link::SwitchCommand second = first;
+  second.lead = "second";
+  second.fence = 4;
+  cr_assert(agent.OnCommand(first, now));
+  cr_assert_not(agent.OnCommand(second, now));
+  link::SwitchCommand stale = first;
+  stale.goal = link::SwitchGoal::kLeave;
+  agent.OnCommand(stale, now);
+  cr_assert_not(agent.OnCommand(second, now), "a doubled command says nothing");
+  first.goal = link::SwitchGoal::kLeave;
+  first.number = 2;
+  cr_assert(agent.OnCommand(first, now));
+  cr_assert(agent.OnCommand(second, now));
+}
+
 }  // namespace banyanlane::experts
--- a/src/link/internal/codec.cc
+++ b/src/link/internal/codec.cc
@@ -49,13 +49,14 @@
     {Suspicion::kCleared, "cleared"},
 }};
 
-constexpr kernel::EnumNames<SwitchGoal, 6> kSwitchGoalNames = {{
+constexpr kernel::EnumNames<SwitchGoal, 7> kSwitchGoalNames = {{
     {SwitchGoal::kFollow, "follow"},
     {SwitchGoal::kPrepare, "prepare"},
     {SwitchGoal::kHold, "hold"},
     {SwitchGoal::kArm, "arm"},
     {SwitchGoal::kRelease, "release"},
     {SwitchGoal::kAbandon, "abandon"},
+    {SwitchGoal::kLeave, "leave"},
 }};
 
 struct MalformedFrame {
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -370,6 +370,7 @@
   kArm = 3,      ///< Change to `version` as `step` begins.
   kRelease = 4,  ///< Keep the group from nothing.
   kAbandon = 5,  ///< Never change to any version below `version`.
+  kLeave = 6,    ///< Obey whoever comes next.
 };
 
 /// Lead to rank agent: what to reach now, in place of all earlier goals.
