Choose the copies of a map switch by the time that they take

Cause: the ranks of a group wait for the one that copies most. Change: SwitchPlanner chooses the number of copies per rank that makes the step time until the next expected shift shortest. The copying time comes from the published service, the overhead of a switch and the interval between shifts are observed. Plans in progress are replaced by the same measure.

--- a/src/config/profile.h
+++ b/src/config/profile.h
@@ -96,6 +96,8 @@
   std::int64_t max_experts_per_rank = 0;
   /// Maximum number of experts that one map change adds to a rank in a layer.
   std::int64_t max_new_experts_per_rank = 0;
+  /// Time in which a rank copies one expert, in milliseconds; 0 if unknown.
+  double copy_ms = 0;
 };
 
 /// Validated revision of the configuration. Immutable once it is shared.
--- a/src/experts/experts_module.cc
+++ b/src/experts/experts_module.cc
@@ -58,7 +58,8 @@
           if (found == config->expert_bounds.end()) return;
           service->SetBounds(
               static_cast<std::size_t>(found->second.max_experts_per_rank),
-              static_cast<std::size_t>(found->second.max_new_experts_per_rank));
+              static_cast<std::size_t>(found->second.max_new_experts_per_rank),
+              found->second.copy_ms);
         });
   }
 
--- a/src/experts/internal/demand_estimator.cc
+++ b/src/experts/internal/demand_estimator.cc
@@ -30,6 +30,7 @@
 
 void DemandEstimator::OnCounts(const link::ExpertCounts& counts,
                                kernel::TimePoint now) {
+  if (!this->observed_since) this->observed_since = now;
   this->Decay(now);
   this->slow.weights.resize(counts.counts.size(), 0.0);
   this->fast.weights.resize(counts.counts.size(), 0.0);
@@ -75,6 +76,7 @@
       distance > this->typical_distance * this->limits.shift_factor;
   if (has_shifted) {
     this->slow = this->fast;
+    ++this->shifts;
     return;
   }
   this->typical_distance =
@@ -94,6 +96,15 @@
   return estimate.sum >= this->limits.min_selection_ratio * typical_sum;
 }
 
+kernel::Millis DemandEstimator::ExpectedShiftInterval(
+    kernel::TimePoint now) const {
+  const auto observed = this->observed_since
+                            ? std::chrono::duration_cast<kernel::Millis>(
+                                  now - *this->observed_since)
+                            : kernel::Millis{0};
+  return (observed + this->limits.initial_shift_interval) / (this->shifts + 1);
+}
+
 std::optional<GroupLoad> DemandEstimator::Load(std::size_t layers) const {
   const auto& weights = this->slow.weights;
   if (this->total_selections <= 0 || layers == 0 ||
--- a/src/experts/internal/demand_estimator.h
+++ b/src/experts/internal/demand_estimator.h
@@ -26,6 +26,8 @@
   /// fewer, a few prompts would count as the demand, for example after a group
   /// was stalled or has formed again.
   double min_selection_ratio = 0.3;
+  /// Time between two shifts of demand that is assumed before any was observed.
+  kernel::Millis initial_shift_interval{10'000};
 };
 
 /// Estimates the recent demand for each expert from samples of all ranks.
@@ -47,6 +49,11 @@
   /// @param layers number of layers that the counts are divided into.
   std::optional<GroupLoad> Load(std::size_t layers) const;
 
+  /// Returns the expected time until the demand shifts again: the mean time
+  /// between shifts that were observed, in which one of
+  /// DemandEstimatorLimits::initial_shift_interval counts as observed.
+  kernel::Millis ExpectedShiftInterval(kernel::TimePoint now) const;
+
   /// Returns the number of selections counted since the last Reset.
   double TotalSelections() const { return this->total_selections; }
 
@@ -77,6 +84,9 @@
   kernel::TimePoint compared_at;
   kernel::TimePoint decayed_at;
   double total_selections = 0;
+  /// Time of the first counts, and number of shifts of demand since then.
+  std::optional<kernel::TimePoint> observed_since;
+  int shifts = 0;
   double typical_fast_sum = 0;  ///< Moving mean of the fast estimate's sum.
   double typical_slow_sum = 0;  ///< Moving mean of the slow estimate's sum.
 };
--- a/src/experts/internal/equal_share_planner.cc
+++ b/src/experts/internal/equal_share_planner.cc
@@ -308,6 +308,23 @@
   double mean = 0;
 };
 
+/// Returns the number of experts that each rank must copy to switch from
+/// `before` to `after`.
+std::vector<std::size_t> CopiesByRank(const ExpertMap& before,
+                                      const ExpertMap& after) {
+  std::vector<std::size_t> copies(after.empty() ? 0 : after.front().size(), 0);
+  for (std::size_t layer = 0; layer < after.size(); ++layer) {
+    for (std::size_t rank = 0; rank < after[layer].size(); ++rank) {
+      const auto& had = before[layer][rank];
+      for (const std::uint64_t expert : after[layer][rank]) {
+        if (std::find(had.begin(), had.end(), expert) == had.end())
+          ++copies[rank];
+      }
+    }
+  }
+  return copies;
+}
+
 double SavedTime(const Change& change) {
   return change.kind == Change::Kind::kNone ? 0 : change.saved;
 }
@@ -334,16 +351,13 @@
 }
 
 std::size_t CopiesBetween(const ExpertMap& before, const ExpertMap& after) {
-  std::size_t copies = 0;
-  for (std::size_t layer = 0; layer < after.size(); ++layer) {
-    for (std::size_t rank = 0; rank < after[layer].size(); ++rank) {
-      const auto& had = before[layer][rank];
-      for (const std::uint64_t expert : after[layer][rank]) {
-        if (std::find(had.begin(), had.end(), expert) == had.end()) ++copies;
-      }
-    }
-  }
-  return copies;
+  const auto copies = CopiesByRank(before, after);
+  return std::accumulate(copies.begin(), copies.end(), std::size_t{0});
+}
+
+std::size_t MaxCopiesOfRank(const ExpertMap& before, const ExpertMap& after) {
+  const auto copies = CopiesByRank(before, after);
+  return copies.empty() ? 0 : *std::max_element(copies.begin(), copies.end());
 }
 
 ExpertMap EqualSharePlanner::Improve(const ExpertMap& current,
--- a/src/experts/internal/equal_share_planner.h
+++ b/src/experts/internal/equal_share_planner.h
@@ -15,9 +15,8 @@
   std::size_t max_experts_per_rank = 0;
   /// Experts that a rank may copy for one layer in one switch.
   std::size_t max_new_experts_per_rank = 0;
-  /// Experts that a rank may copy for all layers in one switch. The value is
-  /// low, since the switch waits for the rank that copies most.
-  std::size_t max_copies = 3;
+  /// Experts that a rank may copy for all layers in one switch.
+  std::size_t max_copies = 4;
 };
 
 /// Time per unit of work of each rank relative to normal; 2 is twice as slow.
@@ -36,6 +35,10 @@
 /// to `after`.
 std::size_t CopiesBetween(const ExpertMap& before, const ExpertMap& after);
 
+/// Returns the highest number of experts that one rank must copy to switch from
+/// `before` to `after`.
+std::size_t MaxCopiesOfRank(const ExpertMap& before, const ExpertMap& after);
+
 /// Plans expert maps under the rule that all ranks that hold an expert process
 /// equal fractions of its tokens.
 class EqualSharePlanner {
--- a/src/experts/internal/group_leader.cc
+++ b/src/experts/internal/group_leader.cc
@@ -16,8 +16,6 @@
 /// have. Two leaders that do not know of each other and start from the same
 /// number choose the same next one once in this many times.
 constexpr std::uint64_t kRandomRange = std::uint64_t{1} << 20U;
-/// Fraction of a layer's time that a single change to its map must save.
-constexpr double kMinGainPerChange = 0.015;
 /// Weight of the newest measurement in the mean duration of a step.
 constexpr double kStepSmoothingFactor = 0.3;
 /// Value of RankStatus::slowdown_percent for a rank of normal speed.
@@ -27,6 +25,8 @@
 constexpr double kNegligibleSlowdown = 1.2;
 /// Weight of the newest measurement in the mean duration of arming.
 constexpr double kArmSmoothingFactor = 0.4;
+/// Weight of the newest measurement in the mean overhead of a switch.
+constexpr double kOverheadSmoothingFactor = 0.3;
 /// Commands are repeated no faster than this for each rank, so that they take a
 /// small part of the leader's link.
 constexpr kernel::Millis kMinRepeatPeriodPerRank{2};
@@ -192,6 +192,24 @@
   this->mean_arm_ms += kArmSmoothingFactor * (millis - this->mean_arm_ms);
 }
 
+void GroupLeader::UpdateMeanOverhead(kernel::TimePoint now) {
+  if (!this->plan) return;
+  const double elapsed_ms =
+      std::chrono::duration<double, std::milli>(now - this->planned_at).count();
+  const double copying_ms =
+      this->copy_ms *
+      static_cast<double>(MaxCopiesOfRank(this->current.map, this->plan->map));
+  const double overhead_ms = std::max(0.0, elapsed_ms - copying_ms);
+  this->mean_overhead_ms +=
+      kOverheadSmoothingFactor * (overhead_ms - this->mean_overhead_ms);
+}
+
+SwitchTimes GroupLeader::TimesOfSwitches(kernel::TimePoint now) const {
+  const auto demand_ms = this->demand.ExpectedShiftInterval(now).count();
+  return {this->copy_ms, this->mean_overhead_ms,
+          static_cast<double>(demand_ms)};
+}
+
 void GroupLeader::AdvanceIdle(kernel::TimePoint now) {
   if (!this->IsGroupComplete(now) || now < this->next_plan_at) return;
   this->next_plan_at = now + this->PlanPeriod();
@@ -199,7 +217,7 @@
   if (!map) return;
   this->current = {this->ranks.begin()->second.status.map_version, *map};
   if (this->HasUnfinishedSwitch()) {
-    this->planned_map.reset();
+    this->plan.reset();
     this->BeginAttempt(now);
     return;
   }
@@ -208,28 +226,30 @@
 
 void GroupLeader::Plan(kernel::TimePoint now) {
   const bool may_plan =
-      this->limits.bounds.max_experts_per_rank > 0 &&
+      this->limits.planner.bounds.max_experts_per_rank > 0 &&
       this->demand.TotalSelections() >= this->limits.min_selections;
   if (!may_plan) return;
   const auto load = this->demand.Load(this->current.map.size());
   if (!load) return;
   const RankSlowdowns slowdowns = this->Slowdowns();
-  const EqualSharePlanner planner(this->limits.bounds, kMinGainPerChange);
-  const ExpertMap better = planner.Improve(this->current.map, *load, slowdowns);
-  const double before = MapStepTime(this->current.map, *load, slowdowns);
-  const double after = MapStepTime(better, *load, slowdowns);
-  if (before <= 0 || (before - after) / before < this->limits.min_saving)
-    return;
+  const SwitchTimes times = this->TimesOfSwitches(now);
+  auto better = SwitchPlanner(this->limits.planner)
+                    .Plan(this->current.map, *load, slowdowns, times);
+  if (!better) return;
   const double min_time = MinMapStepTime(*load, slowdowns);
   this->events.emplace_back(
       EventId::kMapPlanned,
       kernel::EventFields{
           {"group", this->group},
-          {"skew", std::to_string(before / min_time)},
-          {"planned_skew", std::to_string(after / min_time)},
-          {"copies", std::to_string(CopiesBetween(this->current.map, better))},
+          {"skew", std::to_string(better->current_time / min_time)},
+          {"planned_skew", std::to_string(better->planned_time / min_time)},
+          {"copies",
+           std::to_string(CopiesBetween(this->current.map, better->map))},
+          {"switch_ms", std::to_string(better->switch_ms)},
+          {"demand_ms", std::to_string(times.demand_ms)},
           {"step_ms", std::to_string(this->mean_step_ms)}});
-  this->planned_map = better;
+  this->plan = std::move(better);
+  this->planned_at = now;
   this->BeginAttempt(now);
 }
 
@@ -251,12 +271,15 @@
   const auto load = this->demand.Load(this->current.map.size());
   if (!load) return;
   const RankSlowdowns slowdowns = this->Slowdowns();
-  const EqualSharePlanner planner(this->limits.bounds, kMinGainPerChange);
-  ExpertMap better = planner.Improve(this->current.map, *load, slowdowns);
-  const double planned_time = MapStepTime(*this->planned_map, *load, slowdowns);
-  const double better_time = MapStepTime(better, *load, slowdowns);
-  if (better_time > planned_time * (1 - this->limits.min_replan_saving)) return;
-  this->planned_map = std::move(better);
+  const double elapsed_ms =
+      std::chrono::duration<double, std::milli>(now - this->planned_at).count();
+  auto better = SwitchPlanner(this->limits.planner)
+                    .Replan(this->current.map, this->plan->map,
+                            std::max(0.0, this->plan->switch_ms - elapsed_ms),
+                            *load, slowdowns, this->TimesOfSwitches(now));
+  if (!better) return;
+  this->plan = std::move(better);
+  this->planned_at = now;
   this->target_version = this->NextVersion();
   this->EnterStage(Stage::kPreparing, now);
 }
@@ -268,7 +291,7 @@
 
 void GroupLeader::AdvanceFromFollowing(kernel::TimePoint now) {
   if (!this->HasUnfinishedSwitch()) {
-    if (!this->planned_map) {
+    if (!this->plan) {
       this->CancelAttempt("no unfinished switch is left", now);
       return;
     }
@@ -361,6 +384,7 @@
                    status.armed_step == this->switch_step;
           })) {
         this->UpdateMeanArmTime(now);
+        this->UpdateMeanOverhead(now);
         this->EnterStage(Stage::kReleasing, now);
       } else if (this->HasTimedOut(this->limits.arm_timeout, now)) {
         this->UpdateMeanArmTime(now);
@@ -383,7 +407,7 @@
                 {"group", this->group},
                 {"version", std::to_string(this->target_version)},
                 {"step", std::to_string(this->switch_step)}});
-        this->planned_map.reset();
+        this->plan.reset();
         this->next_plan_at = now;
         this->EnterStage(Stage::kIdle, now);
       }
@@ -401,7 +425,7 @@
       if (this->AllRanks([this](const RankStatus& status) {
             return this->HasAbandoned(status);
           })) {
-        this->planned_map.reset();
+        this->plan.reset();
         this->EnterStage(Stage::kReleasing, now);
       }
       return;
@@ -456,7 +480,7 @@
                           {"version", std::to_string(this->target_version)},
                           {"step", "none"},
                           {"reason", std::string(reason)}});
-  this->planned_map.reset();
+  this->plan.reset();
   this->must_send_leave = true;
   this->next_plan_at = now + this->limits.cancel_pause;
   this->EnterStage(Stage::kIdle, now);
@@ -562,8 +586,8 @@
   const RankStatus& status = this->ranks.at(outgoing.rank).status;
   if (!this->map_sender.IsDue(status, command.version, now)) return;
   command.map = this->map_sender.Send(
-      status, command.version,
-      is_prepare ? *this->planned_map : this->current.map, this->current, now);
+      status, command.version, is_prepare ? this->plan->map : this->current.map,
+      this->current, now);
 }
 
 std::vector<GroupLeader::OutgoingCommand> GroupLeader::CommandsWithMaps(
--- a/src/experts/internal/group_leader.h
+++ b/src/experts/internal/group_leader.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "experts/internal/demand_estimator.h"
-#include "experts/internal/equal_share_planner.h"
 #include "experts/internal/map_sender.h"
+#include "experts/internal/switch_planner.h"
 #include "kernel/event_log.h"
 #include "kernel/time.h"
 #include "link/messages.h"
@@ -18,7 +18,7 @@
 
 /// Timeouts and thresholds of a GroupLeader.
 struct GroupLeaderLimits {
-  MapBounds bounds;
+  SwitchPlannerLimits planner;
   MapSenderLimits maps;
   /// A rank whose last status is older than this counts as missing.
   kernel::Millis max_status_age{900};
@@ -41,16 +41,11 @@
   kernel::Millis repeat_period{100};
   /// Minimum time between two calculations of a map.
   kernel::Millis plan_period{100};
-  /// Fraction of the planned map's step time that another map must save to
-  /// replace it while the ranks are copying weights.
-  double min_replan_saving = 0.15;
   /// Time after a cancelled attempt before the next one can begin.
   kernel::Millis cancel_pause{600};
   /// Time before the next attempt can begin after a rank was found to follow
   /// another leader; longer than RankAgentLimits::lease.
   kernel::Millis step_down_pause{1'400};
-  /// Fraction of the current map's step time that a new map must save.
-  double min_saving = 0.06;
   /// Number of expert selections that must have been counted before a map is
   /// planned.
   double min_selections = 4'000;
@@ -88,10 +83,13 @@
   /// nothing is planned while it is 0.
   /// @param max_new_experts_per_rank experts that a rank may copy for one layer
   /// in one switch.
+  /// @param copy_ms time in which a rank copies one expert, in milliseconds.
   void SetBounds(std::size_t max_experts_per_rank,
-                 std::size_t max_new_experts_per_rank) {
-    this->limits.bounds.max_experts_per_rank = max_experts_per_rank;
-    this->limits.bounds.max_new_experts_per_rank = max_new_experts_per_rank;
+                 std::size_t max_new_experts_per_rank, double copy_ms) {
+    MapBounds& bounds = this->limits.planner.bounds;
+    bounds.max_experts_per_rank = max_experts_per_rank;
+    bounds.max_new_experts_per_rank = max_new_experts_per_rank;
+    this->copy_ms = copy_ms;
   }
 
   void OnStatus(const link::RankStatus& status, kernel::TimePoint now);
@@ -153,8 +151,10 @@
   void AdvanceIdle(kernel::TimePoint now);
   void Plan(kernel::TimePoint now);
   /// Replaces the planned map while weights are being copied, if another map
-  /// now saves min_replan_saving of its step time.
+  /// is now worth the time of a new switch.
   void Replan(kernel::TimePoint now);
+  SwitchTimes TimesOfSwitches(kernel::TimePoint now) const;
+  void UpdateMeanOverhead(kernel::TimePoint now);
   void BeginAttempt(kernel::TimePoint now);
   void AdvanceFromFollowing(kernel::TimePoint now);
   /// Chooses the step to switch at, and begins to hold the group before it.
@@ -223,14 +223,19 @@
   std::uint64_t target_version = 0;
   /// Step at whose beginning the ranks switch to the planned map.
   std::uint64_t switch_step = 0;
-  VersionedMap current;  ///< Map in use.
-  std::optional<ExpertMap> planned_map;
+  VersionedMap current;            ///< Map in use.
+  std::optional<SwitchPlan> plan;  ///< Switch that is being made.
+  /// Time at which the attempt began, or at which its plan was replaced.
+  kernel::TimePoint planned_at;
   /// Version under which the ranks prepare the current map when a switch is
   /// abandoned. Ranks that have prepared it can't arm lower versions any more.
   std::uint64_t abandon_version = 0;
 
   MapSender map_sender;
 
+  double copy_ms = 0;  ///< Time in which a rank copies one expert.
+  /// Moving mean of the time that a switch takes besides copying.
+  double mean_overhead_ms = 250;
   double mean_step_ms = 60;  ///< Moving mean of the duration of a step.
   double mean_arm_ms = 30;   ///< Moving mean of the duration of arming.
   /// Highest step of any rank at the last measurement of step durations.
--- a/src/experts/internal/rank_service.cc
+++ b/src/experts/internal/rank_service.cc
@@ -54,9 +54,11 @@
 }
 
 void RankService::SetBounds(std::size_t max_experts_per_rank,
-                            std::size_t max_new_experts_per_rank) {
+                            std::size_t max_new_experts_per_rank,
+                            double copy_ms) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->leader.SetBounds(max_experts_per_rank, max_new_experts_per_rank);
+  this->leader.SetBounds(max_experts_per_rank, max_new_experts_per_rank,
+                         copy_ms);
 }
 
 void RankService::OnLinkUp(const link::LinkPtr& link,
--- a/src/experts/internal/rank_service.h
+++ b/src/experts/internal/rank_service.h
@@ -56,7 +56,7 @@
 
   /// Sets bounds on the maps that are planned, see GroupLeader::SetBounds.
   void SetBounds(std::size_t max_experts_per_rank,
-                 std::size_t max_new_experts_per_rank);
+                 std::size_t max_new_experts_per_rank, double copy_ms);
 
   void OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) override;
   void OnMessage(const link::LinkPtr& link, link::Message message,
--- a/src/experts/tests/demand_estimator_test.cc
+++ b/src/experts/tests/demand_estimator_test.cc
@@ -59,6 +59,22 @@
                RatioOf(estimator, 5), RatioOf(estimator, 2));
 }
 
+// The expected time between shifts follows what was observed.
+Test(demand_estimator, learns_how_often_demand_shifts) {
+  DemandEstimator estimator(DemandEstimatorLimits{});
+  DemandSource source;
+  source.Advance(estimator, 0, 40);
+  const auto before = estimator.ExpectedShiftInterval(source.now);
+  for (std::size_t shift = 1; shift <= 6; ++shift)
+    source.Advance(estimator, shift, 30);
+  const auto often = estimator.ExpectedShiftInterval(source.now);
+  cr_assert_lt(often.count(), 6'000);
+  cr_assert_gt(often.count(), 3'000);
+  cr_assert_lt(often.count(), before.count());
+  source.Advance(estimator, 6, 600);
+  cr_assert_gt(estimator.ExpectedShiftInterval(source.now).count(), 10'000);
+}
+
 // A map that is planned on the first few prompts after a stall would move
 // experts without a benefit.
 Test(demand_estimator, waits_for_enough_selections_after_a_stall) {
--- a/src/experts/tests/group_switch_test.cc
+++ b/src/experts/tests/group_switch_test.cc
@@ -113,7 +113,7 @@
     Process& process = this->processes[rank];
     process.agent = std::make_unique<RankAgent>(RankAgentLimits{});
     GroupLeaderLimits limits;
-    limits.bounds = {3, 2, 3};
+    limits.planner.bounds = {3, 2, 3};
     limits.min_selections = 10;
     process.leader = std::make_unique<GroupLeader>(
         limits, "lead" + std::to_string(++this->started_processes),
--- a/src/experts/tests/simulated_group.cc
+++ b/src/experts/tests/simulated_group.cc
@@ -262,7 +262,7 @@
       GroupLeaderLimits{}, engine, node.peers,
       std::make_shared<kernel::Metrics>(), [this] { return this->now; },
       rank + node.incarnation * this->shape.ranks);
-  node.service->SetBounds(this->shape.max_experts_per_rank, 2);
+  node.service->SetBounds(this->shape.max_experts_per_rank, 2, 0);
   node.service->Open();
   const Millis offset(static_cast<std::int64_t>(rank) % kTickPeriod.count());
   this->Schedule(offset, [this, rank, incarnation = node.incarnation] {
