Tell callers to retry after the time that outages were observed to last

Cause: two fixed times stated how long a group takes to form and how callers behave. Change: OutageEstimator learns the mean duration of a service's outages; Retry-After is that time, and before any outage has ended the platform's stall time.

--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -430,11 +430,8 @@
 }
 
 kernel::Millis DirectFlow::RetryAfter() const {
-  if (this->context.pool.IsStalled(this->request.service))
-    return this->context.limits.retry_after_stalled;
-  return this->context.pool.IsUnavailable(this->request.service)
-             ? this->context.limits.retry_after_unavailable
-             : this->context.limits.retry_after;
+  return std::max(this->context.limits.retry_after,
+                  this->context.pool.ExpectedOutage(this->request.service));
 }
 
 void DirectFlow::FailRequest(std::string_view reason,
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -46,14 +46,6 @@
   double on_time_wait_fraction = 0.5;
   /// Time after which callers may retry, where no better value is known.
   kernel::Millis retry_after{300};
-  /// Time after which callers may retry while a service refuses everything. A
-  /// group forms again in about two seconds, and the caller has already waited
-  /// here for a part of that time.
-  kernel::Millis retry_after_unavailable{1'500};
-  /// Time after which callers may retry while all endpoints of a service are
-  /// silent. Callers retry only once, and within a third of the time that they
-  /// have left.
-  kernel::Millis retry_after_stalled{2'000};
   /// Maximum number of attempts of one request that endpoints refuse without
   /// running it.
   int max_refusals = 3;
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -34,6 +34,14 @@
 /// Maximum number of gateways given to callers.
 constexpr std::size_t kMaxAddresses = 64;
 
+/// Before any outage of a service was observed, one is expected to last as
+/// long as endpoints wait for a lost endpoint.
+PoolLimits PoolLimitsOf(const GatewaySettings& settings) {
+  PoolLimits limits;
+  limits.initial_outage = settings.limits.stream_stall_timeout;
+  return limits;
+}
+
 }  // namespace
 
 DirectService::DirectService(
@@ -50,7 +58,7 @@
       membership(std::move(membership)),
       metrics(std::move(metrics)),
       pool(
-          this->settings.failure_domain, PoolLimits{}, seed,
+          this->settings.failure_domain, PoolLimitsOf(this->settings), seed,
           [this](const std::string& endpoint) {
             return this->peers->InFlightFromPeers(endpoint);
           },
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -60,7 +60,7 @@
   const std::lock_guard<std::mutex> lock(this->mutex);
   auto& found = this->services[service];
   if (!found) {
-    found = std::make_shared<Service>();
+    found = std::make_shared<Service>(this->limits.initial_outage);
     found->random.seed(this->seed + this->services.size());
   }
   return found;
@@ -223,6 +223,8 @@
       service.endpoints.begin(), service.endpoints.end(),
       [](const auto& entry) { return entry.second.in_flight > 0; });
   service.is_stalled = busy >= this->limits.min_stalled_endpoints;
+  if (service.is_stalled)
+    service.outages.OnUnavailable(service.last_progress_at);
 }
 
 bool EndpointPool::IsUnavailable(const std::string& service) {
@@ -232,17 +234,26 @@
   return this->IsUnavailable(*found);
 }
 
-bool EndpointPool::IsStalled(const std::string& service) {
+kernel::Millis EndpointPool::ExpectedOutage(const std::string& service) {
   const auto found = this->Find(service);
-  if (!found) return false;
+  if (!found) return kernel::Millis{0};
   const std::lock_guard<std::mutex> lock(found->mutex);
-  return found->is_stalled;
+  return this->IsUnavailable(*found) ? found->outages.ExpectedDuration()
+                                     : kernel::Millis{0};
+}
+
+void EndpointPool::CountProgress(Service& service, kernel::TimePoint now) {
+  service.consecutive_refusals = 0;
+  service.is_stalled = false;
+  service.last_progress_at = now;
+  service.outages.OnAvailable(now);
 }
 
 void EndpointPool::CountRefusal(Service& service, kernel::TimePoint now) const {
   ++service.consecutive_refusals;
-  if (this->IsUnavailable(service))
-    service.next_probe_at = now + this->limits.probe_interval;
+  if (!this->IsUnavailable(service)) return;
+  service.next_probe_at = now + this->limits.probe_interval;
+  service.outages.OnUnavailable(now);
 }
 
 void EndpointPool::OnFailure(Endpoint& endpoint, kernel::TimePoint now) const {
@@ -278,9 +289,7 @@
     this->OnFailure(endpoint, now);
   if (result == AttemptResult::kCompleted) {
     endpoint.consecutive_failures = 0;
-    found->consecutive_refusals = 0;
-    found->is_stalled = false;
-    found->last_progress_at = now;
+    CountProgress(*found, now);
   }
   if (result == AttemptResult::kFull) this->CountRefusal(*found, now);
   if (result == AttemptResult::kFull)
@@ -296,10 +305,8 @@
   const std::lock_guard<std::mutex> lock(found->mutex);
   const auto known = found->endpoints.find(choice.id);
   if (known != found->endpoints.end()) known->second.progressed_at = now;
-  found->consecutive_refusals = 0;
   found->has_sent_events = true;
-  found->is_stalled = false;
-  found->last_progress_at = now;
+  CountProgress(*found, now);
 }
 
 void EndpointPool::OnFirstEvent(const EndpointChoice& choice,
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "direct/internal/outage_estimator.h"
 #include "kernel/time.h"
 #include "membership/instances.h"
 
@@ -85,6 +86,8 @@
   kernel::Millis service_stall_timeout{600};
   /// Minimum number of endpoints with requests in flight in a stalled service.
   int min_stalled_endpoints = 3;
+  /// Expected duration of an outage of a service before any has ended.
+  kernel::Millis initial_outage{1'600};
   /// Number of consecutive failures after which an endpoint is ejected. Only
   /// unreachable, broken and replaced attempts count as failures here.
   int failures_to_eject = 2;
@@ -127,10 +130,9 @@
   /// between.
   bool IsUnavailable(const std::string& service);
 
-  /// Returns whether Choose or HasCapacity has found `service` stalled, see
-  /// PoolLimits::service_stall_timeout, and since then no event has arrived and
-  /// no response has completed.
-  bool IsStalled(const std::string& service);
+  /// Returns the time for which `service` is expected to remain unavailable, or
+  /// 0 if it is available.
+  kernel::Millis ExpectedOutage(const std::string& service);
 
   /// Returns whether `service` has an endpoint outside of `excluded` that is
   /// listed as live and not in its replaced_pause. It may have no capacity now.
@@ -186,6 +188,8 @@
     double load = 0;
   };
   struct Service {
+    explicit Service(kernel::Millis initial_outage) : outages(initial_outage) {}
+
     std::mutex mutex;                           ///< Guards all members below.
     std::map<std::string, Endpoint> endpoints;  ///< Endpoints by id.
     std::minstd_rand random;
@@ -203,6 +207,7 @@
     double mean_first_event_ms = 0;  ///< Moving mean; 0 before the first event.
     /// Time before which an unavailable service gets no further request.
     kernel::TimePoint next_probe_at;
+    OutageEstimator outages;
   };
 
   std::shared_ptr<Service> Find(const std::string& service);
@@ -233,6 +238,8 @@
   /// it.
   void UpdateStalled(Service& service, kernel::TimePoint now) const;
   void CountRefusal(Service& service, kernel::TimePoint now) const;
+  /// Records an event or a complete response.
+  static void CountProgress(Service& service, kernel::TimePoint now);
   void OnFailure(Endpoint& endpoint, kernel::TimePoint now) const;
 
   std::string failure_domain;
--- a/src/direct/tests/direct_flow_test.cc
+++ b/src/direct/tests/direct_flow_test.cc
@@ -517,6 +517,42 @@
   cr_assert(pool.Choose("model", {}, now).has_value());
 }
 
+// Callers retry only once, so they must not be told to return before a group
+// has formed again, nor much later.
+Test(endpoint_pool, learns_how_long_outages_last) {
+  for (const int outage_ms : {400, 6'000}) {
+    EndpointPool pool(
+        "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
+        [](const std::string&) { return 1.0; });
+    pool.OnInstances(ListOf(16));
+    TimePoint now = kStart;
+    const auto refuse = [&pool, &now] {
+      for (int i = 0; i < 3; ++i) {
+        now += Millis(200);
+        if (const auto choice = pool.Choose("model", {}, now))
+          pool.Release(*choice, AttemptResult::kFull, now);
+      }
+    };
+    refuse();
+    cr_assert_eq(pool.ExpectedOutage("model"), PoolLimits{}.initial_outage);
+    for (int outage = 0; outage < 10; ++outage) {
+      refuse();
+      const TimePoint end = now + Millis(outage_ms);
+      const auto probe = pool.Choose("model", {}, end);
+      cr_assert(probe.has_value());
+      pool.Release(*probe, AttemptResult::kCompleted, end);
+      cr_assert_eq(pool.ExpectedOutage("model").count(), 0);
+      now = end + Millis(5'000);
+      refuse();
+    }
+    // Refusals begin up to 600 ms before the last one, and are repeated once.
+    const auto expected = pool.ExpectedOutage("model").count();
+    cr_assert_geq(expected, outage_ms, "%d", static_cast<int>(expected));
+    cr_assert_leq(expected, outage_ms + 1'200, "%d",
+                  static_cast<int>(expected));
+  }
+}
+
 Test(endpoint_pool, keeps_sending_when_one_endpoint_is_silent) {
   EndpointPool pool(
       "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
