Bound the time for which an idle group copies weights

Cause: an order to copy that takes longer than the agents' time-out is repeated and refused; 9 copies of 0.4 s come near it. Change: an idle group copies for at most 3 seconds in one switch.

--- a/src/experts/internal/switch_planner.cc
+++ b/src/experts/internal/switch_planner.cc
@@ -8,6 +8,9 @@
 
 /// Load ratio that allows all copies for which there are free places.
 constexpr double kAnyLoad = std::numeric_limits<double>::infinity();
+/// Longest time for which the ranks of an idle group copy weights. It is less
+/// than RankAgentLimits::copy_timeout, so that no order is repeated.
+constexpr double kMaxIdleCopyMillis = 3'000;
 /// Fraction of a layer's time that a single change to its map must save.
 constexpr double kMinGainPerChange = 0.015;
 
@@ -79,6 +82,11 @@
   const GroupLoad any_demand(current.size(), LayerLoad(experts, 1.0));
   MapBounds bounds = this->limits.bounds;
   bounds.max_copies = bounds.max_new_experts_per_rank * current.size();
+  if (times.copy_ms > 0) {
+    const auto in_time =
+        static_cast<std::size_t>(kMaxIdleCopyMillis / times.copy_ms);
+    bounds.max_copies = std::clamp<std::size_t>(in_time, 1, bounds.max_copies);
+  }
   SwitchPlan plan;
   plan.map = EqualSharePlanner(bounds, kMinGainPerChange)
                  .FillFreePlaces(current, current, any_demand,
