Bound second copies by the leader's link, and take windows of eight ranks

Cause: in a group of 72 ranks a map with second copies everywhere has 864 changes, which the leader's link carries in longer than the time-out, and 144 to 216 in each later switch. A window of a quarter of the ranks took 0.4 s there. Change: second copies are added only as far as their changes can be sent while weights are copied. A window needs eight ranks, or half of a small group. The search for places is linear, and plans stop where more copies change nothing.

--- a/src/experts/internal/demand_estimator.cc
+++ b/src/experts/internal/demand_estimator.cc
@@ -69,10 +69,10 @@
 }
 
 bool DemandEstimator::IsWindowComplete(kernel::TimePoint now) const {
-  const double reported = static_cast<double>(this->window_ranks.size());
-  const double known = static_cast<double>(this->known_ranks.size());
+  const std::size_t needed =
+      std::min(this->limits.min_ranks, (this->known_ranks.size() + 1) / 2);
   return now - this->window_begun_at >= this->limits.min_window &&
-         reported >= this->limits.min_rank_ratio * known;
+         this->window_ranks.size() >= needed;
 }
 
 void DemandEstimator::CloseWindow(kernel::TimePoint now) {
--- a/src/experts/internal/demand_estimator.h
+++ b/src/experts/internal/demand_estimator.h
@@ -17,10 +17,11 @@
   kernel::Millis half_life{700};
   /// Shortest window of counts that is compared with the estimate. It is close
   /// to the period at which rank agents read counts.
-  kernel::Millis min_window{100};
-  /// Fraction of the ranks that must have reported in a window. One rank's
-  /// requests are not the demand of its group.
-  double min_rank_ratio = 0.25;
+  kernel::Millis min_window{100};  /// Number of ranks that must have reported
+                                   /// in a window, or half of the ranks
+  /// of a small group. The requests of a few ranks are not the demand of their
+  /// group.
+  std::size_t min_ranks = 8;
   /// Distance of a window from the estimate, as a multiple of the typical
   /// distance, above which the window shows another demand.
   double shift_factor = 1.7;
--- a/src/experts/internal/equal_share_planner.cc
+++ b/src/experts/internal/equal_share_planner.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
-#include <optional>
 
 #include "absl/container/inlined_vector.h"
 
@@ -167,26 +166,28 @@
     return *std::max_element(this->loads.begin(), this->loads.end());
   }
 
-  /// Adds the most loaded expert that only one rank holds to the least loaded
-  /// rank with a free place, unless that rank's load would exceed `max_load`.
-  /// @return false if no expert was added.
-  bool FillFreePlace(double max_load) {
+  /// Adds copies of experts that only one rank holds, the most loaded ones
+  /// first, in rounds of one copy for each rank with a free place. A copy that
+  /// /// would raise its rank's load above `max_load` is not added.
+  /// @param allowed number of copies that may be added; lowered by those that
+  /// are.
+  void FillFreePlaces(double max_load, std::size_t& allowed) {
+    std::vector<std::uint64_t> single = this->SingleExperts();
     std::vector<std::size_t> ranks(this->layer.size());
     std::iota(ranks.begin(), ranks.end(), std::size_t{0});
     std::sort(ranks.begin(), ranks.end(), [this](auto left, auto right) {
       return this->loads[left] < this->loads[right];
     });
-    for (const std::size_t rank : ranks) {
-      const bool has_place =
-          this->layer[rank].size() < this->bounds.max_experts_per_rank;
-      const auto expert =
-          has_place ? this->FindSingleExpert(rank, max_load) : std::nullopt;
-      if (!expert) continue;
-      this->AddExpert(rank, *expert);
-      this->loads = RankLoads(this->layer, this->load, this->slowdowns);
-      return true;
+    bool has_added = true;
+    while (has_added) {
+      has_added = false;
+      for (const std::size_t rank : ranks) {
+        if (allowed == 0) return;
+        if (!this->AddSingleExpert(rank, max_load, single)) continue;
+        --allowed;
+        has_added = true;
+      }
     }
-    return false;
   }
 
   const LayerMap& layer_map() const { return this->layer; }
@@ -201,20 +202,44 @@
     return std::pow(std::max(cost_sum, 0.0), 1 / kPower) * this->mean;
   }
 
-  /// Returns the most loaded expert that only another rank holds and whose
-  /// share leaves the load of `rank` at or below `max_load`.
-  std::optional<std::uint64_t> FindSingleExpert(std::size_t rank,
-                                                double max_load) const {
-    std::optional<std::uint64_t> found;
+  /// Returns the experts that only one rank holds, the most loaded ones first.
+  std::vector<std::uint64_t> SingleExperts() const {
+    std::vector<std::uint64_t> single;
     for (std::uint64_t expert = 0; expert < this->load.size(); ++expert) {
-      const bool is_candidate = this->holders[expert].size() == 1 &&
-                                !this->holds[rank][expert] &&
-                                this->CanAdd(rank, expert);
-      const double share = this->ShareOf(expert, 2) * this->slowdowns[rank];
-      if (!is_candidate || this->loads[rank] + share > max_load) continue;
-      if (!found || this->load[expert] > this->load[*found]) found = expert;
+      if (this->holders[expert].size() == 1) single.push_back(expert);
     }
-    return found;
+    std::sort(single.begin(), single.end(), [this](auto left, auto right) {
+      return this->load[left] > this->load[right];
+    });
+    return single;
+  }
+
+  /// Adds one of the experts in `single` to `rank` and removes it from the
+  /// list.
+  /// @return false if none can be added.
+  bool AddSingleExpert(std::size_t rank, double max_load,
+                       std::vector<std::uint64_t>& single) {
+    const bool has_place =
+        this->layer[rank].size() < this->bounds.max_experts_per_rank &&
+        this->MayCopy(rank);
+    if (!has_place) return false;
+    const auto found =
+        std::find_if(single.begin(), single.end(), [&](std::uint64_t expert) {
+          return !this->holds[rank][expert] &&
+                 this->loads[rank] + this->HalfLoad(expert, rank) <= max_load;
+        });
+    if (found == single.end()) return false;
+    const std::size_t holder = this->holders[*found].front();
+    this->loads[rank] += this->HalfLoad(*found, rank);
+    this->loads[holder] -= this->HalfLoad(*found, holder);
+    this->AddExpert(rank, *found);
+    single.erase(found);
+    return true;
+  }
+
+  /// Returns the time that `rank` needs for half of the load of `expert`.
+  double HalfLoad(std::uint64_t expert, std::size_t rank) const {
+    return this->ShareOf(expert, 2) * this->slowdowns[rank];
   }
 
   bool WasHeldOriginally(std::size_t rank, std::uint64_t expert) const {
@@ -223,7 +248,11 @@
   }
 
   bool CanAdd(std::size_t rank, std::uint64_t expert) const {
-    if (this->WasHeldOriginally(rank, expert)) return true;
+    return this->WasHeldOriginally(rank, expert) || this->MayCopy(rank);
+  }
+
+  /// Returns whether the bounds allow one more copy to `rank`.
+  bool MayCopy(std::size_t rank) const {
     return this->new_experts[rank] < this->bounds.max_new_experts_per_rank &&
            this->copies[rank] < this->bounds.max_copies;
   }
@@ -441,15 +470,17 @@
                                             const ExpertMap& planned,
                                             const GroupLoad& load,
                                             const RankSlowdowns& slowdowns,
-                                            double max_load_ratio) const {
+                                            double max_load_ratio,
+                                            std::size_t max_total) const {
   std::vector<std::size_t> copies = CopiesByRank(current, planned);
+  const std::size_t planned_total =
+      std::accumulate(copies.begin(), copies.end(), std::size_t{0});
+  std::size_t allowed = max_total - std::min(max_total, planned_total);
   ExpertMap filled;
   for (std::size_t layer = 0; layer < planned.size(); ++layer) {
     LayerSearch search(current[layer], planned[layer], load[layer], slowdowns,
                        this->bounds, copies);
-    const double max_load = max_load_ratio * search.HighestLoad();
-    while (search.FillFreePlace(max_load)) {
-    }
+    search.FillFreePlaces(max_load_ratio * search.HighestLoad(), allowed);
     filled.push_back(search.layer_map());
   }
   return filled;
@@ -475,6 +506,11 @@
     for (const LayerSearch& layer : layers)
       improved.push_back(layer.layer_map());
     stages.push_back(std::move(improved));
+    // If no rank has copied as much as it may, more copies change nothing.
+    const bool is_limited = std::any_of(
+        copies.begin(), copies.end(),
+        [&](std::size_t count) { return count == stage_bounds.max_copies; });
+    if (!is_limited) break;
   }
   return stages;
 }
--- a/src/experts/internal/equal_share_planner.h
+++ b/src/experts/internal/equal_share_planner.h
@@ -16,7 +16,7 @@
   /// Experts that a rank may copy for one layer in one switch.
   std::size_t max_new_experts_per_rank = 0;
   /// Experts that a rank may copy for all layers in one switch.
-  std::size_t max_copies = 4;
+  std::size_t max_copies = 3;
 };
 
 /// Time per unit of work of each rank relative to normal; 2 is twice as slow.
@@ -48,7 +48,8 @@
       : bounds(bounds), min_gain(min_gain) {}
 
   /// Returns the results of Improve with at most 1, 2, ... copies per rank, up
-  /// to MapBounds::max_copies. Each one continues from the one before.
+  /// to MapBounds::max_copies, or up to the number from which on more copies
+  /// change nothing. Each one continues from the one before.
   std::vector<ExpertMap> ImproveInStages(const ExpertMap& current,
                                          const GroupLoad& load,
                                          const RankSlowdowns& slowdowns) const;
@@ -60,10 +61,12 @@
   /// @param planned map to which one switch leads from `current`.
   /// @param max_load_ratio highest load that a rank may have after a copy was
   /// added, relative to the most loaded rank of the layer.
+  /// @param max_total highest number of copies of all ranks, those of `planned`
+  /// included.
   ExpertMap FillFreePlaces(const ExpertMap& current, const ExpertMap& planned,
                            const GroupLoad& load,
                            const RankSlowdowns& slowdowns,
-                           double max_load_ratio) const;
+                           double max_load_ratio, std::size_t max_total) const;
 
   /// Returns a map that one switch can reach from `current`, with less load on
   /// the most loaded ranks of the layers. Returns `current` if no change saves
--- a/src/experts/internal/group_leader.cc
+++ b/src/experts/internal/group_leader.cc
@@ -37,6 +37,9 @@
 constexpr double kPlanMillisPerList = 0.25;
 /// Minimum time over which steps are counted to measure their duration.
 constexpr kernel::Millis kStepMeasurePeriod{250};
+/// Approximate size of one change in a map that is sent as changes.
+constexpr double kBytesPerMapChange = 10;
+constexpr double kMillisPerSecond = 1'000;
 /// A group that has begun no step for this time has no requests.
 constexpr kernel::Millis kIdlePeriod{1'000};
 /// A step that was measured to take longer counts as this long in the mean.
@@ -210,8 +213,10 @@
 
 SwitchTimes GroupLeader::TimesOfSwitches(kernel::TimePoint now) const {
   const auto demand_ms = this->demand.ExpectedShiftInterval(now).count();
-  return {this->copy_ms, this->mean_overhead_ms,
-          static_cast<double>(demand_ms)};
+  const double send_ms = static_cast<double>(this->size) * kBytesPerMapChange /
+                         this->limits.maps.bytes_per_second * kMillisPerSecond;
+  return {this->copy_ms, this->mean_overhead_ms, static_cast<double>(demand_ms),
+          send_ms};
 }
 
 void GroupLeader::AdvanceIdle(kernel::TimePoint now) {
--- a/src/experts/internal/switch_planner.cc
+++ b/src/experts/internal/switch_planner.cc
@@ -14,6 +14,13 @@
 /// Fraction of a layer's time that a single change to its map must save.
 constexpr double kMinGainPerChange = 0.015;
 
+/// Returns the number of changes of a map that the leader sends to all ranks
+/// within `millis`.
+std::size_t CopiesSentWithin(double millis, const SwitchTimes& times) {
+  if (times.send_ms <= 0) return std::numeric_limits<std::size_t>::max();
+  return static_cast<std::size_t>(millis / times.send_ms);
+}
+
 }  // namespace
 
 double SwitchPlanner::TotalTime(double current_time, double planned_time,
@@ -49,11 +56,15 @@
 void SwitchPlanner::FillFreePlaces(const ExpertMap& current,
                                    const GroupLoad& load,
                                    const RankSlowdowns& slowdowns,
+                                   const SwitchTimes& times,
                                    SwitchPlan& plan) const {
   MapBounds bounds = this->limits.bounds;
   bounds.max_copies = MaxCopiesOfRank(current, plan.map);
+  const double copying_ms =
+      times.copy_ms * static_cast<double>(bounds.max_copies);
   plan.map = EqualSharePlanner(bounds, kMinGainPerChange)
-                 .FillFreePlaces(current, plan.map, load, slowdowns, 1);
+                 .FillFreePlaces(current, plan.map, load, slowdowns, 1,
+                                 CopiesSentWithin(copying_ms, times));
   plan.planned_time = MapStepTime(plan.map, load, slowdowns);
 }
 
@@ -67,7 +78,7 @@
                                        best.switch_ms, times);
   if (total >= total_without_switch * (1 - this->limits.min_saving))
     return std::nullopt;
-  this->FillFreePlaces(current, load, slowdowns, best);
+  this->FillFreePlaces(current, load, slowdowns, times, best);
   return best;
 }
 
@@ -90,7 +101,8 @@
   SwitchPlan plan;
   plan.map = EqualSharePlanner(bounds, kMinGainPerChange)
                  .FillFreePlaces(current, current, any_demand,
-                                 RankSlowdowns(ranks, 1.0), kAnyLoad);
+                                 RankSlowdowns(ranks, 1.0), kAnyLoad,
+                                 CopiesSentWithin(kMaxIdleCopyMillis, times));
   const std::size_t copies = MaxCopiesOfRank(current, plan.map);
   if (copies == 0) return std::nullopt;
   plan.switch_ms =
@@ -110,7 +122,7 @@
                                        best.switch_ms, times);
   if (total > planned_total * (1 - this->limits.min_replan_saving))
     return std::nullopt;
-  this->FillFreePlaces(current, load, slowdowns, best);
+  this->FillFreePlaces(current, load, slowdowns, times, best);
   return best;
 }
 
--- a/src/experts/internal/switch_planner.h
+++ b/src/experts/internal/switch_planner.h
@@ -12,6 +12,8 @@
   double copy_ms = 0;      ///< Time in which a rank copies one expert.
   double overhead_ms = 0;  ///< Time that a switch takes besides copying.
   double demand_ms = 0;    ///< Expected time until the demand shifts again.
+  /// Time in which the leader sends one change of the map to all ranks.
+  double send_ms = 0;
 };
 
 /// Bounds and thresholds of a SwitchPlanner.
@@ -76,7 +78,8 @@
                       const SwitchTimes& times) const;
   /// Adds copies that ranks have time to make while others copy more.
   void FillFreePlaces(const ExpertMap& current, const GroupLoad& load,
-                      const RankSlowdowns& slowdowns, SwitchPlan& plan) const;
+                      const RankSlowdowns& slowdowns, const SwitchTimes& times,
+                      SwitchPlan& plan) const;
   /// Returns the sum of step times until the next shift of demand, relative to
   /// the number of steps.
   double TotalTime(double current_time, double planned_time, double switch_ms,
