Begin no attempt while ranks follow another leader

After the power loss two agents led: the one of rank 2 had planned 56 ms after it became leader, planned again whenever a switch was done and so never gave way, and each made the attempts of the other fail, until the group was held again and again.

--- a/src/experts/internal/group_leader.cc
+++ b/src/experts/internal/group_leader.cc
@@ -221,6 +221,7 @@
 
 void GroupLeader::AdvanceIdle(kernel::TimePoint now) {
   if (!this->IsGroupComplete(now) || now < this->next_plan_at) return;
+  if (this->HasOtherLeader()) return;
   this->next_plan_at = now + this->PlanPeriod();
   const auto map = this->CurrentMap();
   if (!map) return;
@@ -500,6 +501,13 @@
          status.prepared_version == this->abandon_version;
 }
 
+bool GroupLeader::HasOtherLeader() const {
+  return this->AnyRank([this](const RankStatus& status) {
+    return status.fencing_token != 0 &&
+           status.fencing_token != this->fencing_token;
+  });
+}
+
 bool GroupLeader::IsSuperseded() const {
   return this->AnyRank([this](const RankStatus& status) {
     return status.fencing_token > this->fencing_token;
--- a/src/experts/internal/group_leader.h
+++ b/src/experts/internal/group_leader.h
@@ -201,6 +201,9 @@
   void RenewAbandonVersion(kernel::TimePoint now);
   /// Returns whether the rank is disarmed and has prepared abandon_version.
   bool HasAbandoned(const link::RankStatus& status) const;
+  /// Returns whether a rank follows another leader. An attempt that began now
+  /// would fail, and could make one of the other leader fail too.
+  bool HasOtherLeader() const;
   /// Returns whether a rank follows a leader with a higher fencing token.
   bool IsSuperseded() const;
 
