Show that gateways keep old state after the store was restored

Cause: in a drill, the store comes back from a copy some seconds old and gives out its revisions again. Callers then see routes from before, or none that were added. Change: a stand-in of the store that can go back to a copy, one of the servers that gateways call directly, and the first process tests of gateways.

--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -144,19 +144,24 @@
   /// Time between two tokens of the engines started later.
   int token_millis = 5;
 
+ protected:
+  /// Allocates a port and stores the address under `name`.
+  std::string AllocateAddress(const std::string& name);
+  void Spawn(const std::string& name, std::vector<std::string> command_line);
+  /// Writes the settings file of a node: the sections that all nodes have,
+  /// ending with [link], and then `text`.
+  /// @return the path of the file.
+  std::string WriteSettings(const std::string& name, const std::string& text);
+  std::string SettingsPath(const std::string& name) const {
+    return this->FilePath(name + ".ini");
+  }
+
  private:
   void MakeAuthority(const std::string& authority);
   std::string FilePath(const std::string& file) const {
     return this->directory + "/" + file;
   }
   std::string TlsSettings(const std::string& name);
-  /// Allocates a port and stores the address under `name`.
-  std::string AllocateAddress(const std::string& name);
-  void Spawn(const std::string& name, std::vector<std::string> command_line);
-  /// Writes the settings file of an entry or agent: the sections that all nodes
-  /// have, ending with [link], and then `text`.
-  /// @return the path of the file.
-  std::string WriteSettings(const std::string& name, const std::string& text);
 
   std::string ip;
   std::string directory;
--- /dev/null
+++ b/tests/processes/gateway_fleet.cc
@@ -0,0 +1,134 @@
+#include "processes/gateway_fleet.h"
+
+#include <nlohmann/json.hpp>
+
+namespace banyanlane::processes {
+namespace {
+
+using nlohmann::json;
+
+constexpr kernel::Millis kControlTimeout{5'000};
+constexpr int kOk = 200;
+
+std::string Binary(const std::string& name) {
+  return std::string(BANYANLANE_BINARY_DIR) + "/" + name;
+}
+
+json Route(const std::string& path, const std::string& type) {
+  return {{"name", path},       {"host", "h.example"},
+          {"pathPrefix", path}, {"type", type},
+          {"timeoutMs", 5'000}, {"goalMs", 500},
+          {"maxAttempts", 2},   {"service", "model"},
+          {"priority", 0},      {"resumable", type == "streaming"}};
+}
+
+}  // namespace
+
+void GatewayFleet::StartStore() {
+  this->AllocateAddress("store");
+  this->Spawn("store", {Binary("standin"), "store",
+                        "--listen=" + this->Address("store")});
+  Await([&] {
+    const auto up = http::Fetch(this->Address("store"), {}, kControlTimeout);
+    return kernel::ErrorOf(up) == nullptr;
+  });
+}
+
+void GatewayFleet::Write(const std::string& key, const std::string& value) {
+  http::Fetch(this->Address("store"),
+              {"PUT", "/control/item?key=" + key, {}, value, ""},
+              kControlTimeout);
+}
+
+void GatewayFleet::CommandStore(const std::string& command,
+                                const std::string& body) {
+  http::Fetch(this->Address("store"),
+              {"PUT", "/control/" + command, {}, body, ""}, kControlTimeout);
+}
+
+void GatewayFleet::PublishRoutes(int version,
+                                 const std::vector<std::string>& extra_paths) {
+  json routes = {Route("/plain/", "idempotent"),
+                 Route("/stream/", "streaming")};
+  for (const std::string& path : extra_paths)
+    routes.push_back(Route(path, "idempotent"));
+  this->Write("op/config", json{{"version", version},
+                                {"routeList", std::move(routes)},
+                                {"services", {{{"name", "model"}}}}}
+                               .dump());
+}
+
+void GatewayFleet::AddServer(const std::string& name) {
+  this->AllocateAddress(name);
+  this->StartServer(name);
+  this->Register(name, "ready");
+}
+
+void GatewayFleet::StartServer(const std::string& name) {
+  this->Spawn(name, {Binary("standin"), "server",
+                     "--listen=" + this->Address(name), "--id=" + name});
+  Await([&] {
+    return !this->FetchPage(this->Address(name), "/control/executions").empty();
+  });
+}
+
+void GatewayFleet::Register(const std::string& name, const std::string& state) {
+  this->Write("servers/" + name, json{{"service", "model"},
+                                      {"address", this->Address(name)},
+                                      {"zone", "d0"},
+                                      {"version", "v1"},
+                                      {"slots", 8},
+                                      {"state", state},
+                                      {"warmupLeftMs", 0},
+                                      {"sequence", ++this->writes}}
+                                     .dump());
+}
+
+void GatewayFleet::AddGateway(const std::string& name) {
+  this->AllocateAddress(name);
+  for (const char* suffix : {"-admin", "-link", "-ready", "-resolve"})
+    this->AllocateAddress(name + suffix);
+  this->WriteSettings(
+      name, "listen=" + this->Address(name + "-link") + "\nseeds=" +
+                this->links + "\n[platform]\nstore=" + this->Address("store") +
+                "\nready=" + this->Address(name + "-ready") +
+                "\nresolve=" + this->Address(name + "-resolve") +
+                "\npatience_ms=100\n[gateway]\nlisten=" + this->Address(name) +
+                "\naddress=" + this->Address(name) + "\nretry_slack=1000\n");
+  this->links += this->Address(name + "-link") + ",";
+  this->StartGateway(name);
+}
+
+void GatewayFleet::StartGateway(const std::string& name) {
+  this->Spawn(name, {Binary("banyanlane"), "gateway",
+                     "--settings=" + this->SettingsPath(name)});
+}
+
+bool GatewayFleet::AwaitServed(const std::string& gateway,
+                               const std::string& path) {
+  return Await([&] { return this->Post(gateway, path, "").status == kOk; });
+}
+
+http::HttpResponse GatewayFleet::Post(const std::string& gateway,
+                                      const std::string& path,
+                                      const std::string& body,
+                                      const http::Headers& headers) {
+  http::HttpRequest request{"POST", path, headers, body, ""};
+  request.authority = "h.example";
+  request.headers.emplace_back("x-request-id",
+                               "r" + std::to_string(++this->sent_requests));
+  request.headers.emplace_back("x-deadline-ms", "5000");
+  return this->SendRequest(gateway, std::move(request));
+}
+
+int GatewayFleet::RunCount(const std::string& server) {
+  const std::string page =
+      this->FetchPage(this->Address(server), "/control/executions");
+  const json counts = json::parse(page, nullptr, false);
+  int total = 0;
+  if (!counts.is_object()) return total;
+  for (const auto& count : counts) total += count.get<int>();
+  return total;
+}
+
+}  // namespace banyanlane::processes
--- /dev/null
+++ b/tests/processes/gateway_fleet.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "processes/fleet.h"
+
+namespace banyanlane::processes {
+
+/// Gateways that call servers directly, with stand-ins of the store and of the
+/// servers.
+class GatewayFleet : public Fleet {
+ public:
+  /// Starts the store without items.
+  void StartStore();
+  /// Writes an item of the store.
+  /// @param value empty to delete the item.
+  void Write(const std::string& key, const std::string& value);
+  /// Sends a command without a body to the store, such as "copy".
+  void CommandStore(const std::string& command, const std::string& body = "");
+  /// Publishes a configuration with one route for plain requests and one for
+  /// each path in `extra_paths`, and one for streams.
+  void PublishRoutes(int version, const std::vector<std::string>& extra_paths);
+
+  /// Starts a server and registers it in the store.
+  void AddServer(const std::string& name);
+  /// Starts the process of a server that AddServer has set up.
+  void StartServer(const std::string& name);
+  /// Registers a server in the store.
+  /// @param state state of the server in its entry, such as "ready".
+  void Register(const std::string& name, const std::string& state);
+
+  /// Starts a gateway that is linked to those added before.
+  void AddGateway(const std::string& name);
+  /// Starts the process of a gateway that AddGateway has set up.
+  void StartGateway(const std::string& name);
+  /// Waits until a gateway serves a request under `path`.
+  bool AwaitServed(const std::string& gateway, const std::string& path);
+
+  /// Sends a request and waits for its response.
+  /// @param headers header fields in addition to those of each request.
+  http::HttpResponse Post(const std::string& gateway, const std::string& path,
+                          const std::string& body,
+                          const http::Headers& headers = {});
+  /// Returns how many requests the server has begun to run since its start.
+  int RunCount(const std::string& server);
+
+ private:
+  std::string links;
+  int sent_requests = 0;
+  int writes = 0;
+};
+
+}  // namespace banyanlane::processes
--- /dev/null
+++ b/tests/processes/gateway_store_test.cc
@@ -0,0 +1,72 @@
+#include <criterion/criterion.h>
+
+#include <csignal>
+
+#include "processes/gateway_fleet.h"
+
+namespace banyanlane::processes {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+
+/// Starts two gateways and one server, with version 10 of the routes.
+void StartFleet(GatewayFleet& fleet) {
+  fleet.StartStore();
+  fleet.AddServer("s1");
+  fleet.PublishRoutes(10, {});
+  fleet.AddGateway("g1");
+  fleet.AddGateway("g2");
+  cr_assert(fleet.AwaitServed("g1", "/plain/a"));
+  cr_assert(fleet.AwaitServed("g2", "/plain/a"));
+}
+
+}  // namespace
+
+Test(gateway_store, serves_what_is_written_again_after_the_store_was_restored) {
+  GatewayFleet fleet;
+  StartFleet(fleet);
+  fleet.CommandStore("copy");
+  fleet.PublishRoutes(12, {"/lost/"});
+  fleet.Write("servers/other", "{}");
+  fleet.Write("servers/other", "");
+  cr_assert(fleet.AwaitServed("g1", "/lost/a"));
+  cr_assert(fleet.AwaitServed("g2", "/lost/a"));
+  fleet.CommandStore("restore");
+  fleet.PublishRoutes(12, {"/again/"});
+  fleet.AddServer("s2");
+  for (const char* gateway : {"g1", "g2"}) {
+    cr_assert(fleet.AwaitServed(gateway, "/again/a"), "%s", gateway);
+    cr_assert_eq(fleet.Post(gateway, "/lost/a", "").status, kNotFound);
+    cr_assert(Fleet::Await([&] {
+      return fleet.AdminPage(gateway, "/status").find("s2") !=
+             std::string::npos;
+    }));
+  }
+}
+
+Test(gateway_store, keeps_the_last_configuration_until_it_is_written_again) {
+  GatewayFleet fleet;
+  StartFleet(fleet);
+  fleet.CommandStore("copy");
+  fleet.PublishRoutes(12, {"/added/"});
+  cr_assert(fleet.AwaitServed("g1", "/added/a"));
+  fleet.CommandStore("restore");
+  // A server that registers itself shows that the gateway has read the restored
+  // store.
+  fleet.AddServer("s2");
+  cr_assert(Fleet::Await([&] {
+    return fleet.AdminPage("g1", "/status").find("s2") != std::string::npos;
+  }));
+  cr_assert_eq(fleet.Post("g1", "/added/a", "").status, kOk);
+  fleet.Kill("g2");
+  fleet.StartGateway("g2");
+  cr_assert(fleet.AwaitServed("g2", "/added/a"),
+            "a gateway that starts meanwhile adopts it from its peer");
+  fleet.PublishRoutes(12, {"/added/"});
+  fleet.PublishRoutes(13, {"/next/"});
+  cr_assert(fleet.AwaitServed("g1", "/next/a"));
+  cr_assert(fleet.AwaitServed("g2", "/next/a"));
+}
+
+}  // namespace banyanlane::processes
--- a/tests/standins/main.cc
+++ b/tests/standins/main.cc
@@ -11,6 +11,7 @@
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on");
 ABSL_FLAG(std::string, to, "",
           "address that the relay forwards connections to");
+ABSL_FLAG(std::string, id, "", "instance id of the server");
 ABSL_FLAG(int, token_millis, 5,
           "milliseconds between two tokens of the engine");
 
@@ -29,8 +30,12 @@
         banyanlane::standins::MakeEngine(absl::GetFlag(FLAGS_token_millis));
   }
   if (kind == "service") handler = banyanlane::standins::MakeService();
+  if (kind == "store") handler = banyanlane::standins::MakeStore();
+  if (kind == "server")
+    handler = banyanlane::standins::MakeServer(absl::GetFlag(FLAGS_id));
   if (!handler) {
-    std::cerr << "standin: expected one of platform, engine, service, relay\n";
+    std::cerr << "standin: expected one of platform, engine, service, relay, "
+                 "store, server\n";
     return 2;
   }
   sigset_t signals;
--- /dev/null
+++ b/tests/standins/server_standin.cc
@@ -0,0 +1,94 @@
+#include <unistd.h>
+
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+#include "standins/standins.h"
+
+namespace banyanlane::standins {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kIdField = "x-request-id";
+constexpr const char* kStampField = "x-server-stamp";
+constexpr const char* kPartsField = "x-prefix-hash";
+constexpr int kMisdirected = 421;
+constexpr int kEvents = 5;
+constexpr kernel::Millis kEventPause{5};
+/// Time from the beginning of a response to a crash, so that the gateway has
+/// received the beginning.
+constexpr kernel::Millis kCrashDelay{20};
+
+class ServerStandin : public http::IHttpHandler {
+ public:
+  explicit ServerStandin(std::string id) : id(std::move(id)) {}
+
+  void Handle(http::IHttpExchange& exchange) override {
+    const http::HttpRequest& request = exchange.request();
+    if (request.Path() == "/control/executions") {
+      exchange.Reply({200, {}, this->ExecutionsText()});
+      return;
+    }
+    const std::string expected =
+        http::HeaderOf(request.headers, "x-expect-instance");
+    if (!expected.empty() && expected != this->id) {
+      exchange.Reply({kMisdirected, {{"x-not-executed", "1"}}, ""});
+      return;
+    }
+    this->Count(request);
+    this->Run(exchange);
+  }
+
+ private:
+  void Run(http::IHttpExchange& exchange) {
+    const http::HttpRequest& request = exchange.request();
+    const bool is_stream = request.Path().rfind("/stream/", 0) == 0;
+    const std::string parts = http::HeaderOf(request.headers, kPartsField);
+    const bool crashes = parts.find("dead") != std::string::npos ||
+                         request.body.find("CRASH") != std::string::npos;
+    const http::Headers headers = {
+        {kIdField, http::HeaderOf(request.headers, kIdField)},
+        {kStampField, this->id}};
+    if (crashes) {
+      exchange.BeginStream(200, headers);
+      exchange.Wait(kernel::Clock::now() + kCrashDelay);
+      _exit(1);
+    }
+    if (!is_stream) {
+      exchange.Reply({200, headers, this->id});
+      return;
+    }
+    exchange.BeginStream(200, headers);
+    for (int i = 0; i < kEvents; ++i) {
+      exchange.Wait(kernel::Clock::now() + kEventPause);
+      const std::string event =
+          "id: " + std::to_string(i) + "\ndata: " + this->id + "\n\n";
+      if (!exchange.WriteChunk(event)) return;
+    }
+    exchange.EndStream();
+  }
+
+  void Count(const http::HttpRequest& request) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ++this->executions[http::HeaderOf(request.headers, kIdField)];
+  }
+
+  std::string ExecutionsText() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return json(this->executions).dump();
+  }
+
+  const std::string id;
+  std::mutex mutex;
+  std::map<std::string, int> executions;
+};
+
+}  // namespace
+
+std::shared_ptr<http::IHttpHandler> MakeServer(const std::string& id) {
+  return std::make_shared<ServerStandin>(id);
+}
+
+}  // namespace banyanlane::standins
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -26,4 +26,19 @@
 /// response. Both requests are counted.
 std::shared_ptr<http::IHttpHandler> MakeService();
 
+/// Makes the key-value store of the users' platform. PUT /control/item?key=K
+/// writes the body as the value of K, or deletes K if the body is empty. PUT
+/// /control/copy makes a copy of the store, and PUT /control/restore replaces
+/// the store by the last copy, as after the loss of recent writes. PUT
+/// /control/mode works as in MakePlatform.
+std::shared_ptr<http::IHttpHandler> MakeStore();
+
+/// Makes a server that gateways call directly. It streams five events for paths
+/// under /stream/, and otherwise responds with its id. It serves the number of
+/// executions by request id under /control/executions. A request whose body
+/// contains CRASH, or with a prompt part whose id contains "dead", ends the
+/// process after the beginning of the response.
+/// @param id instance id in the list of endpoints.
+std::shared_ptr<http::IHttpHandler> MakeServer(const std::string& id);
+
 }  // namespace banyanlane::standins
