Follow a store that is restored from an older copy

Callers saw routes and keys from before a change, or were not served on added routes, after the store had gone back to a copy some seconds old. Cause: state was ordered by the store's revisions alone. Those go back with the store and are given out again, so a gateway refused every page below the revision that it knew, kept departed endpoints, and refused a configuration whose number was given again with other content. Class of fault: an order that a restore of its source takes back. A response of an earlier era is invalid. What the copy has in an older revision than was known stays as known until it is written again or the grace period ends, so nothing is undone twice. Why it works: the era says which of two revisions is later, whatever their numbers, and a writer's own number says whether the restored copy or the known value is older. The links' protocol is now 2, since four messages carry the era.

--- a/src/catalog/catalog_module.cc
+++ b/src/catalog/catalog_module.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <vector>
 
 #include "catalog/internal/follower_driver.h"
@@ -23,6 +24,18 @@
 constexpr kernel::Millis kMinSampleRetry{1'000};
 /// Interval of the checks whether the next sample is due.
 constexpr kernel::Millis kSampleCheckPeriod{500};
+/// Time that the operator has to publish a lost configuration again. The last
+/// one stays in force meanwhile.
+constexpr kernel::Millis kConfigRewriteGrace{30'000};
+
+/// Returns the operator's revision of a configuration, or 0 if `item` contains
+/// none.
+std::uint64_t RevisionOf(const ICatalogReader& reader,
+                         const CatalogItem& item) {
+  const auto offer = reader.ReadConfig(item);
+  const auto* config = std::get_if<config::ConfigOffer>(&offer);
+  return config == nullptr ? 0 : config->revision;
+}
 
 /// Restarts the watches when a link is lost, since the same network failure may
 /// have broken the connections of the watches.
@@ -60,12 +73,19 @@
     limits.watch_wait =
         kernel::Millis(context.settings().Integer("platform", "watch_ms"));
     const std::uint64_t seed = kernel::Hash64(kernel::RandomId());
-    this->config_driver = std::make_shared<FollowerDriver>(
-        catalog, this->reader->ConfigPrefix(), limits, seed,
-        [this](const CatalogSnapshot& items) { this->OfferConfig(items); });
     this->endpoint_driver = std::make_shared<FollowerDriver>(
-        catalog, this->reader->EndpointPrefix(), limits, seed + 1,
+        catalog, this->reader->EndpointPrefix(),
+        CatalogFollower(limits, seed + 1),
         [this](const CatalogSnapshot& items) { this->OfferEndpoints(items); });
+    limits.rewrite_grace = kConfigRewriteGrace;
+    const auto is_newer = [reader = this->reader](const CatalogItem& offered,
+                                                  const CatalogItem& known) {
+      return RevisionOf(*reader, offered) >= RevisionOf(*reader, known);
+    };
+    this->config_driver = std::make_shared<FollowerDriver>(
+        catalog, this->reader->ConfigPrefix(),
+        CatalogFollower(limits, seed, is_newer),
+        [this](const CatalogSnapshot& items) { this->OfferConfig(items); });
     context.Resolve<link::ILinkHub>()->Subscribe(
         std::make_shared<WatchRestarter>(
             std::vector{this->config_driver, this->endpoint_driver}));
@@ -88,7 +108,7 @@
   /// the connection of the watch may be broken.
   void RestartWatchWhenPeersAreAhead() {
     this->config->Subscribe([this](const config::ConfigPtr& adopted) {
-      if (adopted->revision > this->offered_config_revision)
+      if (config::Replaces(config::VersionOf(*adopted), this->OfferedConfig()))
         this->config_driver->RestartWatch(kernel::Clock::now());
     });
     this->membership->Subscribe(
@@ -98,6 +118,11 @@
         });
   }
 
+  config::ConfigVersion OfferedConfig() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->offered_config;
+  }
+
   void Tick(kernel::TimePoint now) {
     this->config_driver->OnTick(now);
     this->endpoint_driver->OnTick(now);
@@ -111,8 +136,11 @@
                          {{"key", item.key}, {"reason", error->detail}});
         continue;
       }
-      this->offered_config_revision =
-          std::get<config::ConfigOffer>(offer).revision;
+      {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->offered_config =
+            config::VersionOf(std::get<config::ConfigOffer>(offer));
+      }
       this->config->Offer(std::get<config::ConfigOffer>(offer), "platform",
                           kernel::Clock::now());
     }
@@ -141,8 +169,9 @@
   std::shared_ptr<http::IHttpRuntime> runtime;
   std::shared_ptr<FollowerDriver> config_driver;
   std::shared_ptr<FollowerDriver> endpoint_driver;
-  /// Revision of the configuration that the watch has offered last.
-  std::atomic<std::uint64_t> offered_config_revision{0};
+  std::mutex mutex;  ///< Guards `offered_config`.
+  /// Version of the configuration that the watch has offered last.
+  config::ConfigVersion offered_config;
   /// Version of the instance list that the watch has offered last.
   std::atomic<std::uint64_t> offered_list_version{0};
 };
@@ -182,7 +211,8 @@
   void Offer(const CatalogResponse& response) {
     const auto* page = std::get_if<CatalogPage>(&response);
     if (page == nullptr) return;
-    for (const CatalogItem& item : page->items) {
+    for (CatalogItem item : page->items) {
+      item.era = page->era.value_or(0);
       const auto offer = this->reader->ReadConfig(item);
       if (kernel::ErrorOf(offer) != nullptr) continue;
       this->config->Offer(std::get<config::ConfigOffer>(offer), "platform",
--- a/src/catalog/i_catalog.h
+++ b/src/catalog/i_catalog.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,6 +19,13 @@
   std::string value;
   std::uint64_t revision = 0;  ///< Store revision of the last change.
   bool removed = false;
+  /// Era of the store in which the item was read, or 0 if unknown. Each time
+  /// the store is restored from an older copy, an era begins, and the store
+  /// assigns the revisions after that of the copy again.
+  std::uint64_t era = 0;
+  /// Whether the item is known not to be a restored copy whose successors were
+  /// lost.
+  bool confirmed = false;
 };
 
 /// Some of the items, or changes of items, with the store revision at which
@@ -26,10 +34,15 @@
   std::vector<CatalogItem> items;
   std::uint64_t revision = 0;
   bool more = false;  ///< Whether further items follow the last one.
+  /// Era of the store, or nothing if the response does not give it.
+  std::optional<std::uint64_t> era = std::nullopt;
 };
 
-/// Response to a watch whose start revision is older than the store's history.
-struct HistoryUnavailable {};
+/// Response to a watch whose start revision is not in the store's history,
+/// because it is too old, or because the store was restored from an older copy.
+struct HistoryUnavailable {
+  std::optional<std::uint64_t> era = std::nullopt;
+};
 
 /// Result of one call of ICatalog.
 using CatalogResponse =
--- a/src/catalog/i_catalog_reader.h
+++ b/src/catalog/i_catalog_reader.h
@@ -50,6 +50,10 @@
   /// Endpoints whose entries expired are listed again within this time after
   /// the store has recovered.
   kernel::Millis removal_grace{2'300};
+  /// Time after a restore of the store for which an item keeps its known value
+  /// if the store has an older one, since writers repeat the writes that were
+  /// lost.
+  kernel::Millis rewrite_grace{2'300};
 };
 
 }  // namespace banyanlane::catalog
--- a/src/catalog/internal/follower_driver.cc
+++ b/src/catalog/internal/follower_driver.cc
@@ -13,19 +13,18 @@
 }  // namespace
 
 FollowerDriver::FollowerDriver(std::shared_ptr<ICatalog> catalog,
-                               std::string prefix, const CatalogLimits& limits,
-                               std::uint64_t seed, ChangeHandler on_changed)
+                               std::string prefix, CatalogFollower follower,
+                               ChangeHandler on_changed)
     : catalog(std::move(catalog)),
       prefix(std::move(prefix)),
-      limits(limits),
       on_changed(std::move(on_changed)),
-      follower(limits, seed) {}
+      follower(std::move(follower)) {}
 
 void FollowerDriver::OnTick(kernel::TimePoint now) {
   std::optional<CatalogSnapshot> update;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->follower.DeleteExpired(now)) update = this->follower.Snapshot();
+    if (this->follower.EndGracePeriods(now)) update = this->follower.Snapshot();
     if (!this->call_in_progress && !this->stopped) this->Begin(now);
   }
   if (update) this->on_changed(*update);
@@ -48,6 +47,7 @@
 
 void FollowerDriver::Begin(kernel::TimePoint now) {
   const FollowStep step = this->follower.NextStep(now);
+  const CatalogLimits& limits = this->follower.Limits();
   this->watching = std::holds_alternative<WatchStep>(step);
   this->call_in_progress = !std::holds_alternative<PauseStep>(step);
   const std::uint64_t number = ++this->call_number;
@@ -57,13 +57,13 @@
     if (self) self->OnResponse(number, response, kernel::Clock::now());
   };
   if (const auto* page = std::get_if<ReadPageStep>(&step)) {
-    this->call = this->catalog->ReadPage(
-        this->prefix, page->after_key, this->limits.response_timeout, receive);
+    this->call = this->catalog->ReadPage(this->prefix, page->after_key,
+                                         limits.response_timeout, receive);
   }
   if (const auto* watch = std::get_if<WatchStep>(&step)) {
     this->call = this->catalog->Watch(
-        this->prefix, watch->after_revision, this->limits.watch_wait,
-        this->limits.watch_wait + this->limits.response_timeout, receive);
+        this->prefix, watch->after_revision, limits.watch_wait,
+        limits.watch_wait + limits.response_timeout, receive);
   }
 }
 
@@ -75,8 +75,10 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (number != this->call_number || this->stopped) return;
     const bool was_failing = this->follower.IsFailing();
+    const std::uint64_t previous_era = this->follower.era();
     const bool changed_items = this->follower.OnResponse(response, now);
     this->LogReachability(was_failing, response);
+    this->LogRestore(previous_era);
     if (changed_items && this->follower.IsLoaded())
       update = this->follower.Snapshot();
     this->Begin(now);
@@ -98,7 +100,17 @@
       kernel::EventId::kPlatformUnreachable,
       {{"what", this->prefix},
        {"reason", error != nullptr ? kernel::Describe(*error)
-                                   : "the revision of the store decreased"}});
+                                   : "the response is older than a previous "
+                                     "one"}});
+}
+
+void FollowerDriver::LogRestore(std::uint64_t previous_era) const {
+  const std::uint64_t era = this->follower.era();
+  if (previous_era == 0 || era == previous_era) return;
+  kernel::LogEvent(kernel::EventId::kPlatformRestored,
+                   {{"what", this->prefix},
+                    {"era", std::to_string(era)},
+                    {"before", std::to_string(previous_era)}});
 }
 
 }  // namespace banyanlane::catalog
--- a/src/catalog/internal/follower_driver.h
+++ b/src/catalog/internal/follower_driver.h
@@ -15,11 +15,9 @@
   using ChangeHandler = std::function<void(const CatalogSnapshot&)>;
 
   /// @param prefix key prefix of the items.
-  /// @param seed seed for the jitter of retry pauses.
   /// @param on_changed called without a lock with each new state of the items.
   FollowerDriver(std::shared_ptr<ICatalog> catalog, std::string prefix,
-                 const CatalogLimits& limits, std::uint64_t seed,
-                 ChangeHandler on_changed);
+                 CatalogFollower follower, ChangeHandler on_changed);
 
   /// Deletes items whose grace period has ended, and starts the next step
   /// unless a call is in progress.
@@ -38,10 +36,11 @@
   void OnResponse(std::uint64_t number, const CatalogResponse& response,
                   kernel::TimePoint now);
   void LogReachability(bool was_failing, const CatalogResponse& response) const;
+  /// Logs that the store was restored if its era is not `previous_era`.
+  void LogRestore(std::uint64_t previous_era) const;
 
   std::shared_ptr<ICatalog> catalog;
   std::string prefix;
-  CatalogLimits limits;
   ChangeHandler on_changed;
   std::mutex mutex;
   CatalogFollower follower;
--- a/src/catalog/tests/catalog_follower_test.cc
+++ b/src/catalog/tests/catalog_follower_test.cc
@@ -111,7 +111,7 @@
       follower.OnResponse(PageOf(21, {Item("a", "1", 21)}), recovered_at));
   const auto before = follower.Snapshot().version;
   const TimePoint grace_end = recovered_at + CatalogLimits{}.removal_grace;
-  cr_assert(follower.DeleteExpired(grace_end));
+  cr_assert(follower.EndGracePeriods(grace_end));
   cr_assert_eq(TextOf(follower), "a=1 ");
   cr_assert_gt(follower.Snapshot().version, before);
   // The next change of the store must have a higher version.
--- a/src/config/i_config.h
+++ b/src/config/i_config.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "config/config_version.h"
 #include "config/profile.h"
 #include "kernel/result.h"
 #include "kernel/time.h"
@@ -16,6 +17,8 @@
   std::uint64_t revision = 0;
   std::string digest;
   std::string value;
+  std::uint64_t era = 0;   ///< See ConfigVersion.
+  bool confirmed = false;  ///< See ConfigVersion.
 };
 
 /// Parser of one text format of the configuration.
@@ -32,7 +35,7 @@
 enum class OfferOutcome {
   kAdopted,
   kSame,    ///< The revision is already in force.
-  kOlder,   ///< A higher revision is in force.
+  kOlder,   ///< The configuration in force is newer.
   kRefused  ///< Invalid, or a second value for the revision in force.
 };
 
@@ -44,8 +47,8 @@
   /// Returns the configuration in force, or null if none was adopted yet.
   virtual ConfigPtr Current() const = 0;
 
-  /// Adopts `offer` if it is complete, valid and newer than the revision in
-  /// force.
+  /// Adopts `offer` if it is complete, valid and replaces the configuration in
+  /// force (see Replaces).
   /// @param source Platform or peer that sent it, for the log and audit trail.
   virtual OfferOutcome Offer(const ConfigOffer& offer, std::string_view source,
                              kernel::TimePoint now) = 0;
--- a/src/config/internal/config_relay.cc
+++ b/src/config/internal/config_relay.cc
@@ -21,7 +21,7 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->links[link->id()] = link;
   }
-  this->OnPeerConfigRevision(link, link->peer().revision, now);
+  this->OnPeerConfigVersion(link, VersionOf(link->peer()), now);
   this->OnPeerListVersion(link, link->peer().list_version, now);
 }
 
@@ -34,11 +34,11 @@
 void ConfigRelay::OnMessage(const link::LinkPtr& link, link::Message message,
                             kernel::TimePoint now) {
   if (const auto* heartbeat = std::get_if<link::Heartbeat>(&message)) {
-    this->OnPeerConfigRevision(link, heartbeat->revision, now);
+    this->OnPeerConfigVersion(link, VersionOf(*heartbeat), now);
     this->OnPeerListVersion(link, heartbeat->list_version, now);
   }
   if (const auto* announce = std::get_if<link::ConfigAnnounce>(&message)) {
-    this->OnPeerConfigRevision(link, announce->revision, now);
+    this->OnPeerConfigVersion(link, VersionOf(*announce), now);
   }
   if (const auto* announce = std::get_if<link::ListAnnounce>(&message)) {
     this->OnPeerListVersion(link, announce->version, now);
@@ -47,7 +47,8 @@
   if (std::holds_alternative<link::ListPull>(message)) this->SendList(link);
   if (auto* received = std::get_if<link::ConfigValue>(&message)) {
     const ConfigOffer offer{received->revision, received->digest,
-                            std::move(received->value.bytes)};
+                            std::move(received->value.bytes), received->era,
+                            received->confirmed};
     this->store->Offer(offer, link->peer().node, now);
   }
   if (const auto* received = std::get_if<link::ListValue>(&message)) {
@@ -55,14 +56,14 @@
   }
 }
 
-void ConfigRelay::OnPeerConfigRevision(const link::LinkPtr& link,
-                                       std::uint64_t revision,
-                                       kernel::TimePoint now) {
+void ConfigRelay::OnPeerConfigVersion(const link::LinkPtr& link,
+                                      const ConfigVersion& version,
+                                      kernel::TimePoint now) {
   const ConfigPtr current = this->store->Current();
-  const std::uint64_t own_revision = current ? current->revision : 0;
-  if (revision > own_revision &&
-      this->TryBeginPull(this->config_pull, own_revision, revision, now)) {
-    link->Send(link::ConfigPull{own_revision});
+  const ConfigVersion own = current ? VersionOf(*current) : ConfigVersion{};
+  if (Replaces(version, own) &&
+      this->TryBeginPull(this->config_pull, own, version, now)) {
+    link->Send(link::ConfigPull{own.revision});
   }
 }
 
@@ -72,18 +73,20 @@
   const auto current = this->membership->Current();
   const std::uint64_t own_version = current ? current->version : 0;
   if (version > own_version &&
-      this->TryBeginPull(this->list_pull, own_version, version, now)) {
+      this->TryBeginPull(this->list_pull, {own_version}, {version}, now)) {
     link->Send(link::ListPull{own_version});
   }
 }
 
-bool ConfigRelay::TryBeginPull(PullState& pull, std::uint64_t own_version,
-                               std::uint64_t wanted, kernel::TimePoint now) {
+bool ConfigRelay::TryBeginPull(PullState& pull,
+                               const ConfigVersion& own_version,
+                               const ConfigVersion& wanted,
+                               kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  if (wanted > pull.wanted) {
+  if (Replaces(wanted, pull.wanted)) {
     // The delay starts again only if this process already has the version that
     // was wanted so far.
-    const bool caught_up = own_version >= pull.wanted;
+    const bool caught_up = !Replaces(pull.wanted, own_version);
     if (caught_up) pull.peer_ahead_since = now;
     pull.wanted = wanted;
     pull.requested = false;
@@ -98,7 +101,8 @@
 void ConfigRelay::SendConfig(const link::LinkPtr& link) const {
   const ConfigPtr current = this->store->Current();
   if (!current) return;
-  link->Send(link::ConfigValue{current->revision, current->digest,
+  link->Send(link::ConfigValue{current->revision, current->era,
+                               current->confirmed, current->digest,
                                link::Blob{current->value}});
 }
 
@@ -109,7 +113,8 @@
 
 void ConfigRelay::AnnounceConfig(const ConfigPtr& config) {
   for (const link::LinkPtr& link : this->Links()) {
-    link->Send(link::ConfigAnnounce{config->revision});
+    link->Send(
+        link::ConfigAnnounce{config->revision, config->era, config->confirmed});
   }
 }
 
--- a/src/config/internal/config_relay.h
+++ b/src/config/internal/config_relay.h
@@ -35,7 +35,7 @@
   /// State of pulling one kind of value. Until a pull times out, the same
   /// version is not pulled from another peer, so that no two peers send it.
   struct PullState {
-    std::uint64_t wanted = 0;  ///< Highest version that a peer has reported.
+    ConfigVersion wanted;  ///< Newest version that a peer has reported.
     /// Time at which a peer first reported a newer version than this process
     /// has.
     kernel::TimePoint peer_ahead_since;
@@ -43,15 +43,15 @@
     bool requested = false;          ///< Whether `wanted` has been requested.
   };
 
-  void OnPeerConfigRevision(const link::LinkPtr& link, std::uint64_t revision,
-                            kernel::TimePoint now);
+  void OnPeerConfigVersion(const link::LinkPtr& link,
+                           const ConfigVersion& version, kernel::TimePoint now);
   void OnPeerListVersion(const link::LinkPtr& link, std::uint64_t version,
                          kernel::TimePoint now);
   /// Returns whether to send a pull now to a peer that has reported version
   /// `wanted`. Records the pull if so.
   /// @param own_version Version that this process has.
-  bool TryBeginPull(PullState& pull, std::uint64_t own_version,
-                    std::uint64_t wanted, kernel::TimePoint now);
+  bool TryBeginPull(PullState& pull, const ConfigVersion& own_version,
+                    const ConfigVersion& wanted, kernel::TimePoint now);
   void SendConfig(const link::LinkPtr& link) const;
   void SendList(const link::LinkPtr& link) const;
   std::vector<link::LinkPtr> Links();
--- a/src/config/internal/config_store.h
+++ b/src/config/internal/config_store.h
@@ -9,8 +9,8 @@
 
 namespace banyanlane::config {
 
-/// Configuration store that adopts a revision only if it is valid and higher
-/// than the revision in force.
+/// Configuration store that adopts a configuration only if it is valid and
+/// replaces the one in force (see Replaces).
 class ConfigStore : public IConfigStore {
  public:
   explicit ConfigStore(
@@ -25,8 +25,11 @@
  private:
   OfferOutcome Refuse(const ConfigOffer& offer, std::string_view source,
                       const std::string& reason);
-  /// Returns the outcome of an offer whose revision is not higher than the
-  /// revision in force.
+  /// Records that the configuration in force was found in a later era, or that
+  /// it is confirmed.
+  void UpdateVersion(const ConfigOffer& offer, const ConfigSnapshot& in_force);
+  /// Returns the outcome of an offer that does not replace the configuration in
+  /// force.
   OfferOutcome CompareWithCurrent(const ConfigOffer& offer,
                                   std::string_view source);
 
--- a/src/config/profile.h
+++ b/src/config/profile.h
@@ -103,8 +103,10 @@
 /// Validated revision of the configuration. Immutable once it is shared.
 struct ConfigSnapshot {
   std::uint64_t revision = 0;
-  std::string digest;  ///< Digest of `value`.
-  std::string value;   ///< Text as published.
+  std::uint64_t era = 0;   ///< See ConfigVersion.
+  bool confirmed = false;  ///< See ConfigVersion.
+  std::string digest;      ///< Digest of `value`.
+  std::string value;       ///< Text as published.
   std::map<std::string, Profile> profiles;
   std::map<std::string, GroupPolicy> groups;
   std::map<std::string, Organisation> organisations_by_api_key;
--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -70,6 +70,9 @@
        "The configuration service does not respond."},
       {EventId::kPlatformRecovered, "platform_recovered", Level::kInfo,
        "The configuration service responds again."},
+      {EventId::kPlatformRestored, "platform_restored", Level::kWarning,
+       "The platform's store was restored from an older copy; everything is "
+       "read again."},
       {EventId::kInstanceListChanged, "instance_list_changed", Level::kInfo,
        "The instance list changed."},
       {EventId::kInstanceListRefused, "instance_list_refused", Level::kWarning,
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -21,6 +21,7 @@
   kConfigSuperseded = 202,
   kPlatformUnreachable = 203,
   kPlatformRecovered = 204,
+  kPlatformRestored = 205,
   kInstanceListChanged = 210,
   kInstanceListRefused = 211,
   kCatalogItemIgnored = 212,
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -11,7 +11,7 @@
 
 /// Version of the messages in this file. Peers with another version are
 /// refused.
-inline constexpr std::uint64_t kProtocolVersion = 1;
+inline constexpr std::uint64_t kProtocolVersion = 2;
 
 /// Outcome of one attempt at a request.
 enum class Outcome : std::uint64_t {
@@ -65,6 +65,8 @@
   std::string failure_domain;
   std::string service;         ///< Agents only: the service of their endpoint.
   std::uint64_t revision = 0;  ///< Configuration revision in use at the sender.
+  std::uint64_t era = 0;       ///< Era of that revision; see ConfigVersion.
+  bool confirmed = false;      ///< Whether that revision is confirmed.
   std::uint64_t list_version = 0;  ///< Version of the sender's instance list.
   std::uint64_t clock_ms = 0;  ///< Agents only: milliseconds since their start.
   bool leaving = false;
@@ -72,14 +74,16 @@
   template <typename Visitor>
   void Visit(Visitor& visit) {
     visit(this->protocol, this->role, this->node, this->incarnation,
-          this->failure_domain, this->service, this->revision,
-          this->list_version, this->clock_ms, this->leaving);
+          this->failure_domain, this->service, this->revision, this->era,
+          this->confirmed, this->list_version, this->clock_ms, this->leaving);
   }
 };
 
 /// Sent at regular intervals on each link. Carries the sender's state.
 struct Heartbeat {
   std::uint64_t revision = 0;
+  std::uint64_t era = 0;
+  bool confirmed = false;
   std::uint64_t list_version = 0;
   /// This and the following fields are set only by agents. Milliseconds since
   /// the agent started.
@@ -92,8 +96,9 @@
 
   template <typename Visitor>
   void Visit(Visitor& visit) {
-    visit(this->revision, this->list_version, this->clock_ms, this->leaving,
-          this->endpoint_up, this->running, this->queued, this->slots);
+    visit(this->revision, this->era, this->confirmed, this->list_version,
+          this->clock_ms, this->leaving, this->endpoint_up, this->running,
+          this->queued, this->slots);
   }
 };
 
@@ -264,10 +269,12 @@
 /// Both directions: the sender uses this configuration revision.
 struct ConfigAnnounce {
   std::uint64_t revision = 0;
+  std::uint64_t era = 0;
+  bool confirmed = false;
 
   template <typename Visitor>
   void Visit(Visitor& visit) {
-    visit(this->revision);
+    visit(this->revision, this->era, this->confirmed);
   }
 };
 
@@ -284,12 +291,15 @@
 /// Both directions: a complete configuration revision.
 struct ConfigValue {
   std::uint64_t revision = 0;
+  std::uint64_t era = 0;
+  bool confirmed = false;
   std::string digest;
   Blob value;
 
   template <typename Visitor>
   void Visit(Visitor& visit) {
-    visit(this->revision, this->digest, this->value);
+    visit(this->revision, this->era, this->confirmed, this->digest,
+          this->value);
   }
 };
 
--- a/src/peers/peers_module.cc
+++ b/src/peers/peers_module.cc
@@ -62,9 +62,14 @@
   void Stop() override {}
 
  private:
-  std::uint64_t Revision() const {
+  /// Sets the members of `message` that say which configuration is in force.
+  template <typename Message>
+  void SetConfigVersion(Message& message) const {
     const config::ConfigPtr config = this->store->Current();
-    return config ? config->revision : 0;
+    if (!config) return;
+    message.revision = config->revision;
+    message.era = config->era;
+    message.confirmed = config->confirmed;
   }
 
   std::uint64_t ListVersion() const {
@@ -74,14 +79,14 @@
 
   link::Hello LocalHello() const {
     link::Hello current = this->hello;
-    current.revision = this->Revision();
+    this->SetConfigVersion(current);
     current.list_version = this->ListVersion();
     return current;
   }
 
   link::Heartbeat LocalHeartbeat() const {
     link::Heartbeat heartbeat;
-    heartbeat.revision = this->Revision();
+    this->SetConfigVersion(heartbeat);
     heartbeat.list_version = this->ListVersion();
     return heartbeat;
   }
