Show that gateways send on a request that crashes endpoints

Cause: gateways record no crashes. A request that ends each endpoint that runs it is sent again by every gateway, as often as it comes.

--- /dev/null
+++ b/tests/processes/gateway_crash_test.cc
@@ -0,0 +1,63 @@
+#include <criterion/criterion.h>
+
+#include "processes/gateway_fleet.h"
+
+namespace banyanlane::processes {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr int kServers = 4;
+/// Endpoints that one request, or one prompt part, may end before and after it
+/// is known to crash them.
+constexpr int kMaxEnds = 6;
+
+std::string ServerName(int number) { return "s" + std::to_string(number); }
+
+void StartFleet(GatewayFleet& fleet) {
+  fleet.StartStore();
+  for (int i = 1; i <= kServers; ++i) fleet.AddServer(ServerName(i));
+  fleet.PublishRoutes(1, {});
+  fleet.AddGateway("g1");
+  fleet.AddGateway("g2");
+  cr_assert(fleet.AwaitServed("g1", "/plain/a"));
+  cr_assert(fleet.AwaitServed("g2", "/plain/a"));
+}
+
+/// Starts the servers that have ended again.
+/// @return their number.
+int RestartEnded(GatewayFleet& fleet) {
+  int ended = 0;
+  for (int i = 1; i <= kServers; ++i) {
+    if (fleet.IsRunning(ServerName(i))) continue;
+    ++ended;
+    fleet.StartServer(ServerName(i));
+    fleet.Register(ServerName(i), "ready");
+  }
+  return ended;
+}
+
+}  // namespace
+
+Test(gateway_crash,
+     a_request_that_crashes_endpoints_is_refused_by_all_gateways) {
+  GatewayFleet fleet;
+  StartFleet(fleet);
+  int ends = 0;
+  http::HttpResponse last;
+  for (int i = 0; i < 12; ++i) {
+    const std::string gateway = i % 2 == 0 ? "g1" : "g2";
+    last = fleet.Post(gateway, "/plain/a", "CRASH");
+    ends += RestartEnded(fleet);
+    cr_assert(fleet.AwaitServed(gateway, "/plain/a"));
+  }
+  cr_assert_leq(ends, kMaxEnds);
+  cr_assert_eq(last.status, kUnavailable);
+  cr_assert_not(http::HeaderOf(last.headers, "retry-after").empty());
+  for (const char* gateway : {"g1", "g2"}) {
+    cr_assert_eq(fleet.Post(gateway, "/plain/a", "sound").status, kOk);
+    cr_assert_eq(fleet.Post(gateway, "/plain/b", "").status, kOk);
+  }
+}
+
+}  // namespace banyanlane::processes
--- a/tests/processes/gateway_fleet.cc
+++ b/tests/processes/gateway_fleet.cc
@@ -65,6 +65,7 @@
 }
 
 void GatewayFleet::StartServer(const std::string& name) {
+  this->starts[name] = ++this->writes;
   this->Spawn(name, {Binary("standin"), "server",
                      "--listen=" + this->Address(name), "--id=" + name});
   Await([&] {
@@ -80,7 +81,8 @@
                                       {"slots", 8},
                                       {"state", state},
                                       {"warmupLeftMs", 0},
-                                      {"sequence", ++this->writes}}
+                                      {"sequence", ++this->writes},
+                                      {"born", this->starts.at(name)}}
                                      .dump());
 }
 
--- a/tests/processes/gateway_fleet.h
+++ b/tests/processes/gateway_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,8 @@
   std::string links;
   int sent_requests = 0;
   int writes = 0;
+  /// Number that stands for the start time of each server.
+  std::map<std::string, int> starts;
 };
 
 }  // namespace banyanlane::processes
