Refuse a request that crashes endpoints, at all gateways

Callers saw endpoint after endpoint end under one request, which gateways sent on whenever it came again. Cause: gateways recorded no crashes; the evidence that entries and agents have needs an agent beside the endpoint. Class of fault: a promise that is kept on one of two paths. Change: after a connection has broken early in an attempt, the gateway opens another one; if it is refused, the endpoint has crashed. CrashAttribution counts crashes and survivals by the request's key (method, host, target, organisation, body) and exchanges them with other gateways. Work is quarantined when its crashes exceed its survivals by three; it is then refused at once, as not run, with the time to retry after, and tried again with single attempts after a minute or more. Endpoints have an incarnation, so that a start under a former id is another one. Why it works: a request that ends endpoints has no survivals, a sound one has some between any two crashes, and a lost response, a cut stream or a silent machine is not taken for a crash.

--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -20,6 +20,9 @@
 /// also does so whenever a request leaves an endpoint.
 constexpr kernel::Millis kQueueCheckPeriod{100};
 
+/// Period at which expired evidence about crashes is removed.
+constexpr kernel::Millis kEvidenceCheckPeriod{10'000};
+
 /// The gateway role: receives callers' requests and sends them to endpoints.
 class DirectModule : public kernel::IModule {
  public:
@@ -31,12 +34,16 @@
     this->runtime = context.Resolve<http::IHttpRuntime>();
     this->store = context.Resolve<config::IConfigStore>();
     const auto membership = context.Resolve<membership::IMembership>();
+    this->crashes = std::make_shared<CrashMonitor>(
+        settings.Text("node", "id") + "/" + kernel::RandomId(), this->runtime,
+        context.Resolve<kernel::Metrics>());
+    context.Resolve<link::ILinkHub>()->Subscribe(this->crashes);
     this->service = std::make_shared<DirectService>(
         ReadSettings(settings), this->runtime,
         context.Resolve<const ICallerProtocol>(),
         context.Resolve<peers::IPeers>(), membership,
-        context.Resolve<kernel::Metrics>(), kernel::Hash64(kernel::RandomId()),
-        kernel::Clock::now());
+        context.Resolve<kernel::Metrics>(), this->crashes,
+        kernel::Hash64(kernel::RandomId()), kernel::Clock::now());
     context.Export<IGateway>(this->service);
     this->store->Subscribe(
         [this](const config::ConfigPtr& config) { this->OnConfig(config); });
@@ -59,6 +66,10 @@
                          [service = this->service](kernel::TimePoint now) {
                            service->SendAllQueued(now);
                          });
+    this->runtime->Every(kEvidenceCheckPeriod,
+                         [crashes = this->crashes](kernel::TimePoint now) {
+                           crashes->Expire(now);
+                         });
     kernel::LogEvent(kernel::EventId::kProcessReady,
                      {{"listen", this->listen}});
   }
@@ -127,6 +138,7 @@
   std::string listen;
   std::shared_ptr<config::IConfigStore> store;
   std::shared_ptr<http::IHttpRuntime> runtime;
+  std::shared_ptr<CrashMonitor> crashes;
   std::shared_ptr<DirectService> service;
   std::shared_ptr<http::IHttpServer> server;
 };
--- /dev/null
+++ b/src/direct/internal/crash_monitor.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "direct/internal/endpoint_pool.h"
+#include "evidence/crash_attribution.h"
+#include "http/i_http_runtime.h"
+#include "kernel/metrics.h"
+#include "link/i_link.h"
+
+namespace banyanlane::direct {
+
+/// Observes which attempts end with a crash of their endpoint, and exchanges
+/// this evidence with other gateways. Thread-safe.
+///
+/// A connection can break although its endpoint is up. After one has broken, a
+/// new connection shows which is the case: an endpoint that has crashed refuses
+/// it.
+class CrashMonitor : public link::ILinkObserver,
+                     public std::enable_shared_from_this<CrashMonitor> {
+ public:
+  using Keys = evidence::CrashAttribution::Keys;
+
+  /// @param node name of this gateway's incarnation in reports.
+  CrashMonitor(std::string node, std::shared_ptr<http::IHttpRuntime> runtime,
+               std::shared_ptr<kernel::Metrics> metrics);
+
+  evidence::CrashAttribution& attribution() { return this->evidence; }
+
+  /// Processes the end of a connection before the response was complete.
+  /// @param keys keys of the attempt's work.
+  void OnConnectionLost(const EndpointChoice& endpoint, const Keys& keys,
+                        kernel::TimePoint now);
+  /// Processes an attempt that its endpoint has survived.
+  void OnSurvived(const Keys& keys, kernel::TimePoint now);
+  void Expire(kernel::TimePoint now) { this->evidence.Expire(now); }
+
+  void OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) override;
+  void OnMessage(const link::LinkPtr& link, link::Message message,
+                 kernel::TimePoint now) override;
+  void OnLinkDown(const link::LinkPtr& link, kernel::TimePoint now) override;
+
+ private:
+  void OnChecked(const EndpointChoice& endpoint, http::ConnectionCheck result,
+                 kernel::TimePoint now);
+  void Send(const std::vector<link::WorkReport>& reports,
+            const link::LinkPtr& except = nullptr);
+  void LogChanges();
+
+  std::shared_ptr<http::IHttpRuntime> runtime;
+  std::shared_ptr<kernel::Metrics> metrics;
+  evidence::CrashAttribution evidence;
+  std::mutex mutex;  ///< Guards the members below.
+  /// Keys of the attempts whose endpoint is being checked, by its id.
+  std::map<std::string, std::vector<Keys>> pending;
+  std::map<std::uint64_t, link::LinkPtr> links;
+};
+
+}  // namespace banyanlane::direct
--- a/src/direct/internal/direct_actions.h
+++ b/src/direct/internal/direct_actions.h
@@ -31,6 +31,15 @@
   AttemptResult result = AttemptResult::kCompleted;
 };
 
+/// Reports that the connection of an attempt ended before the endpoint was seen
+/// to survive it.
+struct ReportLostConnection {
+  EndpointChoice endpoint;
+};
+
+/// Reports that the endpoint survived an attempt at the request.
+struct ReportSurvival {};
+
 /// Sends an endpoint's complete response to the caller.
 struct SendResponse {
   http::HttpResponse response;
@@ -66,7 +75,8 @@
 };
 
 using DirectAction =
-    std::variant<CallEndpoint, CancelCall, ReleaseEndpoint, SendResponse,
+    std::variant<CallEndpoint, CancelCall, ReleaseEndpoint,
+                 ReportLostConnection, ReportSurvival, SendResponse,
                  SendStreamHead, SendEvents, SendStreamEnd, AbortResponse,
                  SendRefusal, WriteLogEvent>;
 using DirectActions = std::vector<DirectAction>;
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -52,7 +52,32 @@
          this->state != State::kDone;
 }
 
+bool DirectFlow::FailIfQuarantined(kernel::TimePoint now) {
+  const auto until =
+      this->context.attribution.QuarantinedUntil(this->request.work_keys, now);
+  if (!until) {
+    this->is_probe =
+        this->context.attribution.TryProbe(this->request.work_keys, now);
+    return false;
+  }
+  this->FailRequest("quarantined",
+                    std::chrono::duration_cast<kernel::Millis>(*until - now));
+  return true;
+}
+
+void DirectFlow::ReportEndpointSurvived() {
+  if (this->attempt_survived) return;
+  this->attempt_survived = true;
+  this->actions.push_back(ReportSurvival{});
+}
+
+void DirectFlow::ReportConnectionLost() {
+  if (this->attempt_survived || !this->endpoint) return;
+  this->actions.push_back(ReportLostConnection{*this->endpoint});
+}
+
 void DirectFlow::SendOrWait(kernel::TimePoint now) {
+  if (this->FailIfQuarantined(now)) return;
   const bool is_new = this->attempt == 0;
   const bool must_queue =
       is_new && this->context.queue.Length(this->request.service) > 0;
@@ -75,6 +100,7 @@
   this->state = State::kSent;
   this->attempt_began_at = now;
   this->attempt_has_events = false;
+  this->attempt_survived = false;
   this->head = ResponseHead{};
   this->body.clear();
   this->splitter = EventSplitter{};
@@ -147,6 +173,14 @@
 
 DirectActions DirectFlow::OnCapacity(kernel::TimePoint now) {
   if (this->state != State::kQueued) return {};
+  const bool is_quarantined =
+      !this->is_probe &&
+      this->context.attribution.QuarantinedUntil(this->request.work_keys, now);
+  if (is_quarantined) {
+    this->LeaveQueue(now);
+    this->FailIfQuarantined(now);
+    return this->TakeActions();
+  }
   if (this->Send(now)) {
     this->context.queue.Remove(this->request.service, this->request.urgency,
                                this->ticket);
@@ -208,10 +242,13 @@
   this->context.pool.OnProgress(*this->endpoint, now);
   if (!this->attempt_has_events) {
     this->attempt_has_events = true;
+    this->first_event_at = now;
     this->context.pool.OnFirstEvent(*this->endpoint,
                                     std::chrono::duration_cast<kernel::Millis>(
                                         now - this->attempt_began_at));
   }
+  if (now - this->first_event_at >= this->context.limits.survival_time)
+    this->ReportEndpointSurvived();
   if (this->attempt_deadline != this->deadline)
     this->attempt_deadline = now + this->context.limits.stream_stall_timeout;
   if (!text.empty()) {
@@ -257,10 +294,12 @@
   const bool is_empty_stream =
       !this->head_sent && !this->request.last_event_id.has_value();
   if (this->splitter.HasPartialEvent() || is_empty_stream) {
+    this->ReportConnectionLost();
     this->Release(AttemptResult::kBroken);
     this->OnResponseLost(AttemptResult::kBroken, now);
     return;
   }
+  this->ReportEndpointSurvived();
   this->Release(AttemptResult::kCompleted);
   if (!this->head_sent)
     this->actions.push_back(
@@ -270,6 +309,7 @@
 }
 
 void DirectFlow::OnCompleteResponse(kernel::TimePoint now) {
+  this->ReportEndpointSurvived();
   const int status = this->head.status;
   const bool failed = status >= kFirstServerErrorStatus;
   if (failed && this->request.IsRepeatable() && this->TryAcquireRetry(now)) {
@@ -299,6 +339,7 @@
                                    kernel::TimePoint now) {
   if (!this->IsCurrent(number)) return {};
   if (state == http::SendState::kMaybeSent) {
+    this->ReportConnectionLost();
     this->Release(AttemptResult::kBroken);
     this->OnResponseLost(AttemptResult::kBroken, now);
     return this->TakeActions();
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -12,6 +12,7 @@
 #include "direct/internal/event_splitter.h"
 #include "direct/internal/request_queue.h"
 #include "direct/internal/retry_allowance.h"
+#include "evidence/crash_attribution.h"
 #include "http/i_http_runtime.h"
 #include "kernel/time.h"
 
@@ -51,6 +52,10 @@
   int max_refusals = 3;
   /// Maximum number of failed connections of one request.
   int max_connect_failures = 3;
+  /// Work crashes an endpoint when it begins to respond. An endpoint has
+  /// survived an attempt when it still sends events this long after the first
+  /// one.
+  kernel::Millis survival_time{500};
   /// Shortest remaining time in which a retry is useful.
   kernel::Millis min_time_left{20};
   /// Size in bytes of the largest response that is buffered before it is sent
@@ -63,6 +68,7 @@
   EndpointPool& pool;
   RetryAllowance& retries;
   RequestQueue& queue;
+  evidence::CrashAttribution& attribution;
   /// Number of gateways that share the retries.
   std::size_t gateway_count = 1;
   DirectLimits limits;
@@ -99,6 +105,13 @@
   enum class State { kIdle, kQueued, kSent, kResponding, kDone };
 
   void SendOrWait(kernel::TimePoint now);
+  /// Fails the request if its work is quarantined.
+  /// @return whether it failed.
+  bool FailIfQuarantined(kernel::TimePoint now);
+  /// Reports that the endpoint of the current attempt has survived it.
+  void ReportEndpointSurvived();
+  /// Reports the end of the current attempt's connection.
+  void ReportConnectionLost();
   /// Begins an attempt at an endpoint that has capacity.
   /// @return false if there is none.
   bool Send(kernel::TimePoint now);
@@ -164,6 +177,11 @@
   std::uint64_t attempt = 0;  ///< Number of the last attempt, or 0.
   kernel::TimePoint attempt_began_at;
   bool attempt_has_events = false;
+  kernel::TimePoint first_event_at;  ///< First event of the current attempt.
+  /// The endpoint has survived the current attempt.
+  bool attempt_survived = false;
+  /// The request shows whether its work is sound after a quarantine.
+  bool is_probe = false;
   std::set<std::string> tried_endpoints;
   /// Number of attempts that an endpoint may have received.
   std::int64_t sent_attempts = 0;
--- a/src/direct/internal/direct_request.h
+++ b/src/direct/internal/direct_request.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "config/profile.h"
 #include "http/http_types.h"
@@ -22,6 +23,9 @@
   std::int64_t deadline_ms = 0;
   std::optional<std::uint64_t> last_event_id;
   http::HttpRequest message;
+  /// Keys that this request shares with others that may crash endpoints in the
+  /// same way.
+  std::vector<std::string> work_keys;
 
   /// Returns whether the request may run again after an attempt that may have
   /// run.
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -73,7 +73,9 @@
     const bool is_for_endpoint =
         std::holds_alternative<CallEndpoint>(action) ||
         std::holds_alternative<CancelCall>(action) ||
-        std::holds_alternative<ReleaseEndpoint>(action);
+        std::holds_alternative<ReleaseEndpoint>(action) ||
+        std::holds_alternative<ReportLostConnection>(action) ||
+        std::holds_alternative<ReportSurvival>(action);
     if (is_for_endpoint) {
       this->endpoint_actions.push_back(std::move(action));
       continue;
@@ -143,6 +145,16 @@
   this->environment.on_capacity(action.endpoint.service);
 }
 
+void DirectRunner::RunAction(const ReportLostConnection& action) {
+  this->environment.crashes->OnConnectionLost(
+      action.endpoint, this->direct_request().work_keys, kernel::Clock::now());
+}
+
+void DirectRunner::RunAction(const ReportSurvival& /*action*/) {
+  this->environment.crashes->OnSurvived(this->direct_request().work_keys,
+                                        kernel::Clock::now());
+}
+
 DirectActions DirectRunner::TakeCallerActions() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   DirectActions taken;
--- a/src/direct/internal/direct_runner.h
+++ b/src/direct/internal/direct_runner.h
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <vector>
 
+#include "direct/internal/crash_monitor.h"
 #include "direct/internal/direct_flow.h"
 #include "http/i_http_handler.h"
 #include "http/i_http_runtime.h"
@@ -24,6 +25,7 @@
     /// Called after a request has left an endpoint of `service`.
     std::function<void(const std::string& service)> on_capacity;
     std::shared_ptr<kernel::Metrics> metrics;
+    std::shared_ptr<CrashMonitor> crashes;
   };
 
   DirectRunner(Environment environment, std::unique_ptr<DirectFlow> flow,
@@ -65,6 +67,8 @@
   void RunAction(const CallEndpoint& action);
   void RunAction(const CancelCall& action);
   void RunAction(const ReleaseEndpoint& action);
+  void RunAction(const ReportLostConnection& action);
+  void RunAction(const ReportSurvival& action);
   template <typename CallerAction>
   void RunAction(const CallerAction& /*action*/) {}
 
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -34,6 +34,20 @@
 /// Maximum number of gateways given to callers.
 constexpr std::size_t kMaxAddresses = 64;
 
+/// Returns the key of requests that repeat this one.
+std::string RequestKey(const http::HttpRequest& request,
+                       const std::string& host,
+                       const std::string& organisation) {
+  kernel::DigestStream digest;
+  for (const std::string& part :
+       {request.method, host, request.target, organisation}) {
+    digest.Add(part);
+    digest.Add("\n");
+  }
+  digest.Add(request.body);
+  return "request:" + digest.Finish();
+}
+
 /// Before any outage of a service was observed, one is expected to last as
 /// long as endpoints wait for a lost endpoint.
 PoolLimits PoolLimitsOf(const GatewaySettings& settings) {
@@ -49,7 +63,8 @@
     std::shared_ptr<const ICallerProtocol> protocol,
     std::shared_ptr<peers::IPeers> peers,
     std::shared_ptr<membership::IMembership> membership,
-    std::shared_ptr<kernel::Metrics> metrics, std::uint64_t seed,
+    std::shared_ptr<kernel::Metrics> metrics,
+    std::shared_ptr<CrashMonitor> crashes, std::uint64_t seed,
     kernel::TimePoint now)
     : settings(std::move(settings)),
       runtime(std::move(runtime)),
@@ -57,6 +72,7 @@
       peers(std::move(peers)),
       membership(std::move(membership)),
       metrics(std::move(metrics)),
+      crashes(std::move(crashes)),
       pool(
           this->settings.failure_domain, PoolLimitsOf(this->settings), seed,
           [this](const std::string& endpoint) {
@@ -161,6 +177,8 @@
         organisation->second.urgency.value_or(direct_request.urgency);
   }
   direct_request.service = this->PickService(*direct_request.profile);
+  direct_request.work_keys = {
+      RequestKey(request, host, direct_request.organisation)};
   direct_request.message = std::move(request);
   direct_request.message.authority = host;
   direct_request.request_id = head.request_id;
@@ -211,7 +229,10 @@
                         DirectRequest direct_request) {
   const auto started = kernel::Clock::now();
   const std::uint64_t number = ++this->last_number;
-  const DirectContext context{this->pool, this->retries, this->queue,
+  const DirectContext context{this->pool,
+                              this->retries,
+                              this->queue,
+                              this->crashes->attribution(),
                               this->peers->LiveGateways(started).size() + 1,
                               this->settings.limits};
   DirectRunner::Environment environment;
@@ -222,6 +243,7 @@
     this->SendQueued(service, kernel::Clock::now());
   };
   environment.metrics = this->metrics;
+  environment.crashes = this->crashes;
   const auto runner = std::make_shared<DirectRunner>(
       std::move(environment),
       std::make_unique<DirectFlow>(context, std::move(direct_request), number),
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -43,7 +43,8 @@
                 std::shared_ptr<const ICallerProtocol> protocol,
                 std::shared_ptr<peers::IPeers> peers,
                 std::shared_ptr<membership::IMembership> membership,
-                std::shared_ptr<kernel::Metrics> metrics, std::uint64_t seed,
+                std::shared_ptr<kernel::Metrics> metrics,
+                std::shared_ptr<CrashMonitor> crashes, std::uint64_t seed,
                 kernel::TimePoint now);
 
   void Handle(http::IHttpExchange& exchange) override;
@@ -103,6 +104,7 @@
   std::shared_ptr<peers::IPeers> peers;
   std::shared_ptr<membership::IMembership> membership;
   std::shared_ptr<kernel::Metrics> metrics;
+  std::shared_ptr<CrashMonitor> crashes;
   EndpointPool pool;
   RetryAllowance retries;
   RequestQueue queue;
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -183,7 +183,8 @@
   // the next one is sent after probe_interval at the earliest.
   if (this->IsUnavailable(*found))
     found->next_probe_at = now + this->limits.probe_interval;
-  return EndpointChoice{best->instance.id, best->instance.address, service};
+  return EndpointChoice{best->instance.id, best->instance.address, service,
+                        best->instance.incarnation};
 }
 
 bool EndpointPool::HasCapacity(const std::string& service,
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -21,6 +21,7 @@
   std::string id;
   std::string address;
   std::string service;
+  std::int64_t incarnation = 0;  ///< See membership::Instance.
 };
 
 /// Result of one attempt at an endpoint.
--- /dev/null
+++ b/src/evidence/internal/crash_attribution.cc
@@ -0,0 +1,235 @@
+#include "evidence/crash_attribution.h"
+
+#include <algorithm>
+
+#include "kernel/hash.h"
+
+namespace banyanlane::evidence {
+namespace {
+
+/// Survivals up to this number are all reported, further ones only when their
+/// number has doubled.
+constexpr std::uint64_t kAlwaysReported = 4;
+
+/// Maximum number of doublings of a quarantine, so that the shift can't
+/// overflow. The duration reaches the lifetime of evidence earlier.
+constexpr int kMaxDoublings = 8;
+
+bool IsReported(std::uint64_t count) {
+  const bool is_power_of_two = (count & (count - 1)) == 0;
+  return count <= kAlwaysReported || is_power_of_two;
+}
+
+std::int64_t Total(const std::map<std::string, std::uint64_t>& counts) {
+  std::uint64_t total = 0;
+  for (const auto& entry : counts) total += entry.second;
+  return static_cast<std::int64_t>(total);
+}
+
+}  // namespace
+
+std::optional<kernel::TimePoint> CrashAttribution::QuarantinedUntil(
+    const Keys& keys, kernel::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::optional<kernel::TimePoint> until;
+  for (const std::string& key : keys) {
+    const auto found = this->records.find(key);
+    if (found == this->records.end() || !found->second.is_quarantined) continue;
+    const kernel::TimePoint end = found->second.quarantined_until;
+    if (end > now) until = std::max(until.value_or(end), end);
+  }
+  return until;
+}
+
+bool CrashAttribution::TryProbe(const Keys& keys, kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  bool is_probe = false;
+  for (const std::string& key : keys) {
+    const auto found = this->records.find(key);
+    if (found == this->records.end() || !found->second.is_quarantined) continue;
+    is_probe = true;
+    found->second.quarantined_until = now + this->limits.probe_interval;
+  }
+  return is_probe;
+}
+
+std::uint64_t CrashAttribution::RecentSurvivals(const std::string& key) const {
+  std::uint64_t count = 0;
+  for (const SurvivalCounts* counts :
+       {&this->survivals, &this->previous_survivals}) {
+    const auto found = counts->find(key);
+    if (found != counts->end()) count += found->second;
+  }
+  return std::min(count, static_cast<std::uint64_t>(this->limits.excess));
+}
+
+void CrashAttribution::RememberSurvival(const std::string& key) {
+  const auto found = this->survivals.find(key);
+  if (found != this->survivals.end()) {
+    ++found->second;
+  } else if (this->survivals.size() < this->limits.max_records) {
+    this->survivals[key] = 1;
+  }
+}
+
+CrashAttribution::Record* CrashAttribution::FindOrAdd(const std::string& key) {
+  const auto found = this->records.find(key);
+  if (found != this->records.end()) return &found->second;
+  if (this->records.size() >= this->limits.max_records) return nullptr;
+  Record& added = this->records[key];
+  const std::uint64_t recent = this->RecentSurvivals(key);
+  if (recent > 0) added.survivals[this->node] = recent;
+  return &added;
+}
+
+bool CrashAttribution::AddCrash(Record& record, const std::string& crash,
+                                kernel::TimePoint expires_at) const {
+  if (record.cleared.count(crash) > 0) return false;
+  if (!record.crashes.insert(crash).second) return false;
+  record.expires_at = std::max(record.expires_at, expires_at);
+  return true;
+}
+
+CrashAttribution::Reports CrashAttribution::RecordCrash(
+    const Keys& keys, const std::string& crash, kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Reports reports;
+  for (const std::string& key : keys) {
+    Record* const record = this->FindOrAdd(key);
+    if (record == nullptr) continue;
+    if (!this->AddCrash(*record, crash, now + this->limits.lifetime)) continue;
+    this->JudgeCrash(key, *record, now);
+    reports.push_back(this->ToReport(key, *record, now));
+  }
+  return reports;
+}
+
+CrashAttribution::Reports CrashAttribution::RecordSurvival(
+    const Keys& keys, kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Reports reports;
+  for (const std::string& key : keys) {
+    const auto found = this->records.find(key);
+    if (found == this->records.end()) {
+      this->RememberSurvival(key);
+      continue;
+    }
+    Record& record = found->second;
+    // Only probes run while work is quarantined, and one that survives clears
+    // it.
+    const std::uint64_t weight =
+        record.is_quarantined
+            ? static_cast<std::uint64_t>(std::max<std::int64_t>(
+                  1, ScoreOf(record) + this->limits.excess))
+            : 1;
+    std::uint64_t& count = record.survivals[this->node];
+    count += weight;
+    this->JudgeSurvival(key, record);
+    if (weight > 1 || IsReported(count))
+      reports.push_back(this->ToReport(key, found->second, now));
+  }
+  return reports;
+}
+
+bool CrashAttribution::Merge(const link::WorkReport& report,
+                             kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (report.node == this->node) return false;
+  Record* const record = this->FindOrAdd(report.key);
+  if (record == nullptr) return false;
+  const auto remaining =
+      std::min(this->limits.lifetime, kernel::Millis(report.lifetime_ms));
+  std::uint64_t& known = record->survivals[report.node];
+  const bool has_survivals = report.survivals > known;
+  known = std::max(known, report.survivals);
+  bool has_crashes = false;
+  for (const std::string& crash : report.crashes)
+    has_crashes |= this->AddCrash(*record, crash, now + remaining);
+  if (has_survivals) this->JudgeSurvival(report.key, *record);
+  if (has_crashes) this->JudgeCrash(report.key, *record, now);
+  return has_survivals || has_crashes;
+}
+
+std::int64_t CrashAttribution::ScoreOf(const Record& record) {
+  return static_cast<std::int64_t>(record.crashes.size()) -
+         (Total(record.survivals) - record.cleared_survivals);
+}
+
+kernel::Millis CrashAttribution::QuarantineTime(const std::string& key,
+                                                const Record& record) const {
+  const int doublings = std::min(record.quarantines, kMaxDoublings);
+  const kernel::Millis shortest = std::min(
+      this->limits.lifetime / 2, this->limits.quarantine * (1 << doublings));
+  const auto spread =
+      static_cast<std::int64_t>(kernel::RendezvousWeight(key, this->node) %
+                                static_cast<std::uint64_t>(shortest.count()));
+  return shortest + kernel::Millis(spread);
+}
+
+void CrashAttribution::JudgeCrash(const std::string& key, Record& record,
+                                  kernel::TimePoint now) {
+  if (ScoreOf(record) < this->limits.excess) return;
+  record.quarantined_until = now + this->QuarantineTime(key, record);
+  ++record.quarantines;
+  this->SetQuarantined(key, record, true);
+}
+
+void CrashAttribution::JudgeSurvival(const std::string& key, Record& record) {
+  const std::int64_t score = ScoreOf(record);
+  if (score <= 0) this->SetQuarantined(key, record, false);
+  if (score > -this->limits.excess) return;
+  record.cleared.insert(record.crashes.begin(), record.crashes.end());
+  record.crashes.clear();
+  record.cleared_survivals = Total(record.survivals) - this->limits.excess;
+}
+
+void CrashAttribution::SetQuarantined(const std::string& key, Record& record,
+                                      bool quarantined) {
+  if (record.is_quarantined == quarantined) return;
+  record.is_quarantined = quarantined;
+  this->changes.push_back({key, quarantined, record.crashes.size()});
+}
+
+CrashAttribution::Reports CrashAttribution::All(kernel::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Reports reports;
+  for (const auto& [key, record] : this->records) {
+    if (record.expires_at > now && !record.crashes.empty())
+      reports.push_back(this->ToReport(key, record, now));
+  }
+  return reports;
+}
+
+void CrashAttribution::Expire(kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  for (auto it = this->records.begin(); it != this->records.end();) {
+    it = it->second.expires_at <= now ? this->records.erase(it) : std::next(it);
+  }
+  if (now - this->survivals_since < this->limits.survival_memory) return;
+  this->survivals_since = now;
+  this->previous_survivals.swap(this->survivals);
+  this->survivals.clear();
+}
+
+std::vector<CrashAttribution::Change> CrashAttribution::TakeChanges() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<Change> taken;
+  taken.swap(this->changes);
+  return taken;
+}
+
+link::WorkReport CrashAttribution::ToReport(const std::string& key,
+                                            const Record& record,
+                                            kernel::TimePoint now) const {
+  link::WorkReport report;
+  report.key = key;
+  report.node = this->node;
+  report.crashes.assign(record.crashes.begin(), record.crashes.end());
+  const auto own = record.survivals.find(this->node);
+  report.survivals = own == record.survivals.end() ? 0 : own->second;
+  report.lifetime_ms = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, kernel::MillisBetween(now, record.expires_at)));
+  return report;
+}
+
+}  // namespace banyanlane::evidence
--- /dev/null
+++ b/src/evidence/tests/crash_attribution_test.cc
@@ -0,0 +1,217 @@
+#include "evidence/crash_attribution.h"
+
+#include <criterion/criterion.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+namespace banyanlane::evidence {
+namespace {
+
+using kernel::Millis;
+using kernel::TimePoint;
+
+constexpr TimePoint kNow = TimePoint{} + std::chrono::hours(1);
+
+CrashAttribution Gateway(const std::string& node = "g1") {
+  return {node, AttributionLimits{}};
+}
+
+bool IsQuarantined(const CrashAttribution& gateway, const std::string& key,
+                   TimePoint now = kNow) {
+  return gateway.QuarantinedUntil({key}, now).has_value();
+}
+
+void Send(const std::vector<link::WorkReport>& reports, CrashAttribution& to) {
+  for (const link::WorkReport& report : reports) to.Merge(report, kNow);
+}
+
+}  // namespace
+
+Test(crash_attribution, quarantines_work_from_its_third_crash) {
+  CrashAttribution gateway = Gateway();
+  gateway.RecordCrash({"work"}, "c1", kNow);
+  gateway.RecordCrash({"work"}, "c2", kNow);
+  gateway.RecordCrash({"work"}, "c2", kNow);
+  cr_assert_not(IsQuarantined(gateway, "work"), "the same crash counts once");
+  gateway.RecordCrash({"work"}, "c3", kNow);
+  cr_assert(IsQuarantined(gateway, "work"));
+  cr_assert_not(IsQuarantined(gateway, "other"));
+  const auto changes = gateway.TakeChanges();
+  cr_assert_eq(changes.size(), 1);
+  cr_assert(changes.front().is_quarantined);
+}
+
+Test(crash_attribution, adds_up_the_crashes_that_several_gateways_saw) {
+  CrashAttribution first = Gateway("g1");
+  CrashAttribution second = Gateway("g2");
+  Send(first.RecordCrash({"work"}, "c1", kNow), second);
+  Send(first.RecordCrash({"work"}, "c2", kNow), second);
+  // Both had an attempt at the endpoint of the second crash.
+  Send(second.RecordCrash({"work"}, "c2", kNow), first);
+  cr_assert_not(IsQuarantined(first, "work"));
+  Send(second.RecordCrash({"work"}, "c3", kNow), first);
+  cr_assert(IsQuarantined(first, "work"));
+  cr_assert(IsQuarantined(second, "work"));
+}
+
+Test(crash_attribution, spares_work_that_endpoints_survive_between_crashes) {
+  CrashAttribution gateway = Gateway();
+  for (int i = 0; i < 50; ++i) {
+    gateway.RecordCrash({"work"}, "c" + std::to_string(i), kNow);
+    cr_assert_not(IsQuarantined(gateway, "work"), "crash %d", i);
+    gateway.RecordSurvival({"work"}, kNow);
+  }
+}
+
+Test(crash_attribution, still_quarantines_work_that_was_sound_for_long) {
+  CrashAttribution gateway = Gateway();
+  gateway.RecordCrash({"work"}, "c0", kNow);
+  for (int i = 0; i < 1'000; ++i) gateway.RecordSurvival({"work"}, kNow);
+  int crashes = 0;
+  while (!IsQuarantined(gateway, "work"))
+    gateway.RecordCrash({"work"}, "d" + std::to_string(++crashes), kNow);
+  cr_assert_leq(crashes, 2 * AttributionLimits{}.excess);
+}
+
+Test(crash_attribution, ignores_late_reports_of_crashes_that_were_cleared) {
+  CrashAttribution slow = Gateway("slow");
+  std::vector<link::WorkReport> late;
+  for (const char* crash : {"c1", "c2"})
+    late = slow.RecordCrash({"work"}, crash, kNow);
+  CrashAttribution gateway = Gateway();
+  Send(late, gateway);
+  for (int i = 0; i < 5; ++i) gateway.RecordSurvival({"work"}, kNow);
+  Send(late, gateway);
+  gateway.RecordCrash({"work"}, "c3", kNow);
+  cr_assert_not(IsQuarantined(gateway, "work"));
+}
+
+Test(crash_attribution, releases_work_that_other_gateways_saw_survive) {
+  CrashAttribution first = Gateway("g1");
+  CrashAttribution second = Gateway("g2");
+  for (const char* crash : {"c1", "c2", "c3"})
+    Send(first.RecordCrash({"work"}, crash, kNow), second);
+  cr_assert(IsQuarantined(first, "work"));
+  for (int i = 0; i < 3; ++i)
+    Send(second.RecordSurvival({"work"}, kNow), first);
+  cr_assert_not(IsQuarantined(first, "work"));
+  cr_assert_not(IsQuarantined(second, "work"));
+}
+
+Test(crash_attribution, tells_a_gateway_that_connects_later) {
+  CrashAttribution gateway = Gateway();
+  for (const char* crash : {"c1", "c2", "c3"})
+    gateway.RecordCrash({"work"}, crash, kNow);
+  CrashAttribution later = Gateway("g9");
+  Send(gateway.All(kNow), later);
+  cr_assert(IsQuarantined(later, "work"));
+}
+
+Test(crash_attribution, forgets_evidence_after_its_lifetime) {
+  CrashAttribution gateway = Gateway();
+  for (const char* crash : {"c1", "c2", "c3"})
+    gateway.RecordCrash({"work"}, crash, kNow);
+  const TimePoint end = kNow + AttributionLimits{}.lifetime;
+  gateway.Expire(end - Millis(1));
+  cr_assert_eq(gateway.All(kNow).size(), 1);
+  gateway.Expire(end);
+  cr_assert(gateway.All(kNow).empty());
+  cr_assert_not(IsQuarantined(gateway, "work"));
+}
+
+Test(crash_attribution, agrees_between_gateways_whatever_the_delay_of_reports) {
+  constexpr int kGateways = 4;
+  for (std::uint32_t seed = 1; seed <= 100; ++seed) {
+    std::mt19937 random(seed);
+    std::vector<std::unique_ptr<CrashAttribution>> gateways;
+    /// Reports on their way, by sender and receiver. Links keep their order.
+    std::deque<link::WorkReport> links[kGateways][kGateways];
+    for (int i = 0; i < kGateways; ++i) {
+      gateways.push_back(std::make_unique<CrashAttribution>(
+          "g" + std::to_string(i), AttributionLimits{}));
+    }
+    const auto deliver = [&](int from, int to) {
+      auto& link = links[from][to];
+      if (link.empty()) return;
+      gateways[to]->Merge(link.front(), kNow);
+      link.pop_front();
+    };
+    const auto send = [&](int from, const CrashAttribution::Reports& reports) {
+      for (int to = 0; to < kGateways; ++to)
+        links[from][to].insert(links[from][to].end(), reports.begin(),
+                               reports.end());
+    };
+    for (int i = 0; i < 12; ++i) {
+      const auto crash = "c" + std::to_string(i);
+      const int observer = static_cast<int>(random() % kGateways);
+      send(observer,
+           gateways[observer]->RecordCrash({"poison", "sound"}, crash, kNow));
+      for (int k = 0; k < 8; ++k) {
+        const int other = static_cast<int>(random() % kGateways);
+        send(other, gateways[other]->RecordSurvival({"sound"}, kNow));
+        for (int n = 0; n < 4; ++n)
+          deliver(static_cast<int>(random() % kGateways),
+                  static_cast<int>(random() % kGateways));
+      }
+    }
+    for (int from = 0; from < kGateways; ++from) {
+      for (int to = 0; to < kGateways; ++to) {
+        while (!links[from][to].empty()) deliver(from, to);
+      }
+    }
+    for (const auto& gateway : gateways) {
+      cr_assert(IsQuarantined(*gateway, "poison"), "seed %u", seed);
+      cr_assert_not(IsQuarantined(*gateway, "sound"), "seed %u", seed);
+    }
+  }
+}
+
+Test(crash_attribution, spares_popular_work_when_several_endpoints_are_lost) {
+  CrashAttribution gateway = Gateway();
+  for (int i = 0; i < 10; ++i) gateway.RecordSurvival({"popular"}, kNow);
+  for (const char* crash : {"c1", "c2", "c3", "c4", "c5"})
+    gateway.RecordCrash({"popular"}, crash, kNow);
+  cr_assert_not(IsQuarantined(gateway, "popular"));
+}
+
+Test(crash_attribution, tries_quarantined_work_again_one_attempt_at_a_time) {
+  CrashAttribution gateway = Gateway();
+  for (const char* crash : {"c1", "c2", "c3"})
+    gateway.RecordCrash({"work"}, crash, kNow);
+  const TimePoint end = *gateway.QuarantinedUntil({"work"}, kNow);
+  cr_assert_geq((end - kNow).count(),
+                TimePoint::duration(AttributionLimits{}.quarantine).count());
+  cr_assert_not(IsQuarantined(gateway, "work", end));
+  cr_assert(gateway.TryProbe({"work"}, end));
+  cr_assert(IsQuarantined(gateway, "work", end), "the probe is in progress");
+  gateway.RecordCrash({"work"}, "c4", end);
+  const TimePoint next = *gateway.QuarantinedUntil({"work"}, end);
+  cr_assert_geq(
+      (next - end).count(),
+      TimePoint::duration(AttributionLimits{}.quarantine * 2).count());
+  cr_assert(gateway.TryProbe({"work"}, next));
+  gateway.RecordSurvival({"work"}, next);
+  cr_assert_not(IsQuarantined(gateway, "work", next));
+  cr_assert_not(gateway.TryProbe({"work"}, next), "the work is cleared");
+}
+
+Test(crash_attribution, does_not_end_the_quarantine_of_all_gateways_at_once) {
+  CrashAttribution first = Gateway("g1");
+  CrashAttribution second = Gateway("g2");
+  for (const char* crash : {"c1", "c2", "c3"})
+    Send(first.RecordCrash({"work"}, crash, kNow), second);
+  cr_assert_neq(first.QuarantinedUntil({"work"}, kNow)->time_since_epoch(),
+                second.QuarantinedUntil({"work"}, kNow)->time_since_epoch());
+}
+
+Test(crash_attribution, keeps_a_bounded_number_of_records) {
+  CrashAttribution gateway = Gateway();
+  const std::size_t bound = AttributionLimits{}.max_records;
+  for (std::size_t i = 0; i < bound + 100; ++i)
+    gateway.RecordCrash({"k" + std::to_string(i)}, "c", kNow);
+  cr_assert_eq(gateway.All(kNow).size(), bound);
+}
+
+}  // namespace banyanlane::evidence
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -84,6 +84,13 @@
   std::uint64_t body_bytes = std::uint64_t{64} * 1024 * 1024;
 };
 
+/// Result of opening a connection only to see whether it is accepted.
+enum class ConnectionCheck {
+  kAccepted,
+  kRefused,  ///< The machine responded, but nothing listens there any more.
+  kNoReply,
+};
+
 /// Runs servers and calls on a thread pool.
 class IHttpRuntime {
  public:
@@ -100,6 +107,13 @@
       const std::string& address, HttpRequest request, const CallLimits& limits,
       std::shared_ptr<IHttpCallObserver> observer) = 0;
 
+  /// Opens a connection to `address` and closes it at once.
+  /// @param timeout time after which the result is kNoReply.
+  /// @param report called once with the result.
+  virtual void CheckConnection(const std::string& address,
+                               kernel::Millis timeout,
+                               std::function<void(ConnectionCheck)> report) = 0;
+
   /// Calls `task` with the current time until the runtime stops: first after
   /// `period`, then each time `period` after the previous call ended.
   virtual void Every(kernel::Millis period,
--- a/src/http/internal/http_runtime.cc
+++ b/src/http/internal/http_runtime.cc
@@ -71,6 +71,32 @@
     return call;
   }
 
+  void CheckConnection(const std::string& address, kernel::Millis timeout,
+                       std::function<void(ConnectionCheck)> report) override {
+    const auto endpoint = ResolveAddress(address);
+    if (kernel::ErrorOf(endpoint) != nullptr) {
+      report(ConnectionCheck::kNoReply);
+      return;
+    }
+    const auto stream =
+        std::make_shared<StrandStream>(asio::make_strand(this->io));
+    stream->expires_after(timeout);
+    stream->async_connect(
+        std::get<0>(endpoint),
+        [stream, report = std::move(report)](const beast::error_code& failure) {
+          // A connection is reset if its listener closes while it is opened.
+          const bool is_refused = failure == asio::error::connection_refused ||
+                                  failure == asio::error::connection_reset;
+          if (failure) {
+            report(is_refused ? ConnectionCheck::kRefused
+                              : ConnectionCheck::kNoReply);
+            return;
+          }
+          stream->close();
+          report(ConnectionCheck::kAccepted);
+        });
+  }
+
   void Every(kernel::Millis period,
              std::function<void(kernel::TimePoint)> task) override {
     std::make_shared<PeriodicTask>(this->io, period, std::move(task))
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -486,13 +486,33 @@
   }
 };
 
+/// Gateway to gateway: evidence about work that may crash endpoints.
+struct WorkReport {
+  std::string key;   ///< Key that requests with the same work share.
+  std::string node;  ///< Incarnation of the gateway that made the report.
+  /// Ids of the crashes that ended attempts with this work.
+  std::vector<std::string> crashes;
+  /// Number of attempts with this work at the reporting gateway that endpoints
+  /// survived after the first crash.
+  std::uint64_t survivals = 0;
+  /// Milliseconds until the evidence expires.
+  std::uint64_t lifetime_ms = 0;
+
+  template <typename Visitor>
+  void Visit(Visitor& visit) {
+    visit(this->key, this->node, this->crashes, this->survivals,
+          this->lifetime_ms);
+  }
+};
+
 /// Any message. The index of the type is its number on the wire, so new types
 /// are added at the end.
 using Message =
     std::variant<Hello, Heartbeat, Submit, Started, Head, Chunk, Ended, Revoke,
                  Cancel, Resume, Consumed, ConfigAnnounce, ConfigPull,
                  ConfigValue, ListAnnounce, ListPull, ListValue, Evidence,
-                 PeerStates, RankStatus, SwitchCommand, ExpertCounts>;
+                 PeerStates, RankStatus, SwitchCommand, ExpertCounts,
+                 WorkReport>;
 
 /// Returns the name of the type of `message` for logs and metrics.
 std::string_view MessageName(const Message& message);
--- a/src/membership/instances.h
+++ b/src/membership/instances.h
@@ -35,6 +35,9 @@
   std::string service;
   /// Maximum number of concurrent requests of an endpoint, or 0 if unknown.
   std::int64_t slots = 0;
+  /// Number that differs between the starts of an endpoint under the same id,
+  /// or 0 if unknown.
+  std::int64_t incarnation = 0;
 };
 
 /// One version of the instance list of the platform.
--- a/src/membership/internal/instance_list.cc
+++ b/src/membership/internal/instance_list.cc
@@ -40,6 +40,10 @@
   instance.slots = object.value("slots", json(0)).is_number_integer()
                        ? object.value("slots", std::int64_t{0})
                        : 0;
+  instance.incarnation =
+      object.value("incarnation", json(0)).is_number_integer()
+          ? object.value("incarnation", std::int64_t{0})
+          : 0;
   const auto role = kernel::ParseEnum(kRoleNames, TextField(object, "role"));
   const auto state = kernel::ParseEnum(kStateNames, TextField(object, "state"));
   if (instance.id.empty() || instance.address.empty())
@@ -79,7 +83,8 @@
                       {"address", instance.address},
                       {"failure_domain", instance.failure_domain},
                       {"service", instance.service},
-                      {"slots", instance.slots}});
+                      {"slots", instance.slots},
+                      {"incarnation", instance.incarnation}});
   }
   return json{{"version", version}, {"instances", std::move(listed)}}.dump(
       -1, ' ', false, json::error_handler_t::replace);
