Show that gateways send on requests with a part that crashes endpoints

Cause: gateways do not read the parts of prompts, so requests of which no two are alike have nothing in common for them.

--- a/tests/processes/gateway_crash_test.cc
+++ b/tests/processes/gateway_crash_test.cc
@@ -60,4 +60,33 @@
   }
 }
 
+Test(gateway_crash,
+     a_prompt_part_that_crashes_endpoints_is_refused_in_any_request) {
+  GatewayFleet fleet;
+  StartFleet(fleet);
+  const auto send = [&fleet](const std::string& gateway,
+                             const std::string& parts,
+                             const std::string& body) {
+    return fleet.Post(gateway, "/stream/a", body, {{"x-prefix-hash", parts}});
+  };
+  int ends = 0;
+  http::HttpResponse last;
+  for (int i = 0; i < 12; ++i) {
+    const std::string gateway = i % 2 == 0 ? "g1" : "g2";
+    const std::string own = std::to_string(i);
+    last = send(gateway, "5a:40,dead01:300,b" + own + ":9", "r" + own);
+    ends += RestartEnded(fleet);
+    cr_assert(Fleet::Await([&] {
+      return send(gateway, "5a:40,c" + own + ":9", "s" + own).status == kOk;
+    }));
+  }
+  cr_assert_leq(ends, kMaxEnds);
+  cr_assert_eq(last.status, kUnavailable);
+  for (const char* gateway : {"g1", "g2"}) {
+    cr_assert_eq(send(gateway, "dead01:300,d:9", "").status, kUnavailable);
+    cr_assert_eq(send(gateway, "5a:40,d:9", "").status, kOk);
+    cr_assert_eq(send(gateway, "5a:40,7c:300,d:9", "").status, kOk);
+  }
+}
+
 }  // namespace banyanlane::processes
