Refuse requests with a prompt part that crashes endpoints

Callers of all streams were refused for seconds at a time: each request with the part ended an endpoint, and with it the step of its whole group. Cause: gateways did not read the parts of prompts, so that these requests, of which no two are alike, had nothing in common for them. Class of fault: evidence kept by the wrong unit of work. Change: all parts but the last are keys of the request's work beside its own. The first part is shared by sound requests, so work that endpoints begin to respond to more than three times for each of its crashes is not quarantined, and the part that is begun least often explains the crashes that it has in common with others. Why it works: an endpoint that crashes as it begins to respond leaves no beginning and no survival of the part that crashed it, while each other part has both.

--- a/src/direct/i_caller_protocol.h
+++ b/src/direct/i_caller_protocol.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "http/http_types.h"
 
@@ -19,6 +20,9 @@
   std::optional<std::uint64_t> last_event_id;
   std::int64_t prompt_tokens = 0;
   std::int64_t output_tokens = 0;  ///< Maximum number of tokens to generate.
+  /// Ids of the parts of the prompt that other requests can have as well, in
+  /// the order of the prompt.
+  std::vector<std::string> shared_prompt_parts;
 };
 
 /// Values that one attempt passes to its endpoint in header fields.
--- a/src/direct/internal/crash_monitor.cc
+++ b/src/direct/internal/crash_monitor.cc
@@ -57,6 +57,10 @@
   this->LogChanges();
 }
 
+void CrashMonitor::OnBegun(const Keys& keys, kernel::TimePoint now) {
+  this->Send(this->evidence.RecordBegun(keys, now));
+}
+
 void CrashMonitor::OnSurvived(const Keys& keys, kernel::TimePoint now) {
   this->Send(this->evidence.RecordSurvival(keys, now));
   this->LogChanges();
--- a/src/direct/internal/crash_monitor.h
+++ b/src/direct/internal/crash_monitor.h
@@ -35,6 +35,8 @@
   /// @param keys keys of the attempt's work.
   void OnConnectionLost(const EndpointChoice& endpoint, const Keys& keys,
                         kernel::TimePoint now);
+  /// Processes the beginning of an endpoint's response.
+  void OnBegun(const Keys& keys, kernel::TimePoint now);
   /// Processes an attempt that its endpoint has survived.
   void OnSurvived(const Keys& keys, kernel::TimePoint now);
   void Expire(kernel::TimePoint now) { this->evidence.Expire(now); }
--- a/src/direct/internal/direct_actions.h
+++ b/src/direct/internal/direct_actions.h
@@ -37,6 +37,9 @@
   EndpointChoice endpoint;
 };
 
+/// Reports that the endpoint began to respond to an attempt at the request.
+struct ReportBegun {};
+
 /// Reports that the endpoint survived an attempt at the request.
 struct ReportSurvival {};
 
@@ -76,9 +79,9 @@
 
 using DirectAction =
     std::variant<CallEndpoint, CancelCall, ReleaseEndpoint,
-                 ReportLostConnection, ReportSurvival, SendResponse,
-                 SendStreamHead, SendEvents, SendStreamEnd, AbortResponse,
-                 SendRefusal, WriteLogEvent>;
+                 ReportLostConnection, ReportBegun, ReportSurvival,
+                 SendResponse, SendStreamHead, SendEvents, SendStreamEnd,
+                 AbortResponse, SendRefusal, WriteLogEvent>;
 using DirectActions = std::vector<DirectAction>;
 
 }  // namespace banyanlane::direct
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -243,6 +243,7 @@
   if (!this->attempt_has_events) {
     this->attempt_has_events = true;
     this->first_event_at = now;
+    this->actions.push_back(ReportBegun{});
     this->context.pool.OnFirstEvent(*this->endpoint,
                                     std::chrono::duration_cast<kernel::Millis>(
                                         now - this->attempt_began_at));
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -75,6 +75,7 @@
         std::holds_alternative<CancelCall>(action) ||
         std::holds_alternative<ReleaseEndpoint>(action) ||
         std::holds_alternative<ReportLostConnection>(action) ||
+        std::holds_alternative<ReportBegun>(action) ||
         std::holds_alternative<ReportSurvival>(action);
     if (is_for_endpoint) {
       this->endpoint_actions.push_back(std::move(action));
@@ -150,6 +151,11 @@
       action.endpoint, this->direct_request().work_keys, kernel::Clock::now());
 }
 
+void DirectRunner::RunAction(const ReportBegun& /*action*/) {
+  this->environment.crashes->OnBegun(this->direct_request().work_keys,
+                                     kernel::Clock::now());
+}
+
 void DirectRunner::RunAction(const ReportSurvival& /*action*/) {
   this->environment.crashes->OnSurvived(this->direct_request().work_keys,
                                         kernel::Clock::now());
--- a/src/direct/internal/direct_runner.h
+++ b/src/direct/internal/direct_runner.h
@@ -68,6 +68,7 @@
   void RunAction(const CancelCall& action);
   void RunAction(const ReleaseEndpoint& action);
   void RunAction(const ReportLostConnection& action);
+  void RunAction(const ReportBegun& action);
   void RunAction(const ReportSurvival& action);
   template <typename CallerAction>
   void RunAction(const CallerAction& /*action*/) {}
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -177,8 +177,10 @@
         organisation->second.urgency.value_or(direct_request.urgency);
   }
   direct_request.service = this->PickService(*direct_request.profile);
-  direct_request.work_keys = {
-      RequestKey(request, host, direct_request.organisation)};
+  for (const std::string& part : head.shared_prompt_parts)
+    direct_request.work_keys.push_back("part:" + part);
+  direct_request.work_keys.push_back(
+      RequestKey(request, host, direct_request.organisation));
   direct_request.message = std::move(request);
   direct_request.message.authority = host;
   direct_request.request_id = head.request_id;
--- a/src/direct/tests/crash_flow_test.cc
+++ b/src/direct/tests/crash_flow_test.cc
@@ -78,6 +78,7 @@
   harness.Apply(
       harness.flow->OnData(1, EventOf(1), begun + survival_time - Millis(1)));
   cr_assert_eq(harness.Count<ReportSurvival>(), 0);
+  cr_assert_eq(harness.Count<ReportBegun>(), 1);
   harness.Apply(harness.flow->OnData(1, EventOf(2), begun + survival_time));
   harness.Apply(harness.flow->OnData(1, EventOf(3), begun + survival_time * 2));
   cr_assert_eq(harness.Count<ReportSurvival>(), 1);
@@ -86,6 +87,17 @@
   cr_assert_eq(harness.Count<ReportLostConnection>(), 0);
 }
 
+Test(crash_flow, probes_work_whose_quarantine_has_ended_with_one_request) {
+  FlowHarness harness(false, true);
+  Quarantine(harness);
+  const TimePoint end = *harness.attribution.QuarantinedUntil({kWork}, kStart);
+  harness.Apply(harness.flow->Start(end));
+  cr_assert_not_null(harness.Last<CallEndpoint>());
+  cr_assert(harness.attribution.QuarantinedUntil({kWork}, end).has_value());
+  harness.Apply(harness.flow->OnFailed(1, SendState::kMaybeSent, end));
+  cr_assert_eq(harness.Count<CallEndpoint>(), 1, "a probe is not retried");
+}
+
 Test(crash_flow, reports_a_complete_response_as_survived) {
   FlowHarness harness(false, true);
   harness.Apply(harness.flow->Start(kStart));
--- a/src/evidence/crash_attribution.h
+++ b/src/evidence/crash_attribution.h
@@ -21,6 +21,12 @@
   /// the other way round. Further survivals do not count, so that work which
   /// was sound for long can still be quarantined.
   std::int64_t excess = 3;
+  /// Work that endpoints have begun to respond to more often than this for each
+  /// of its crashes is not quarantined. Work that crashes endpoints does so
+  /// when they begin to respond; other work with a part in common is begun far
+  /// more often than it is in progress at a crash, also when crashes come so
+  /// fast that nothing survives.
+  std::int64_t begun_per_crash = 3;
   /// Minimum duration of the first quarantine. Each later one takes twice as
   /// long. Gateways add up to as much again, so that they do not all try the
   /// work again at the same time.
@@ -76,6 +82,10 @@
   Reports RecordCrash(const Keys& keys, const std::string& crash,
                       kernel::TimePoint now);
 
+  /// Records that an endpoint began to respond to an attempt with `keys`.
+  /// @return the reports to send to other gateways.
+  Reports RecordBegun(const Keys& keys, kernel::TimePoint now);
+
   /// Records that an endpoint survived an attempt with `keys`.
   /// @return the reports to send to other gateways.
   Reports RecordSurvival(const Keys& keys, kernel::TimePoint now);
@@ -99,6 +109,10 @@
     std::set<std::string> cleared;  ///< Crashes before the last clearance.
     /// Number of survivals that each gateway has reported.
     std::map<std::string, std::uint64_t> survivals;
+    /// Number of begun attempts that each gateway has reported.
+    std::map<std::string, std::uint64_t> begun;
+    /// Number of begun attempts at the last clearance.
+    std::int64_t cleared_begun = 0;
     /// Number of survivals at the last clearance.
     std::int64_t cleared_survivals = 0;
     bool is_quarantined = false;
@@ -106,6 +120,11 @@
     int quarantines = 0;
     kernel::TimePoint expires_at;
   };
+  struct ExplainedCrash {
+    /// Number of attempts begun of the work that explains the crash.
+    std::int64_t begun = 0;
+    kernel::TimePoint expires_at;
+  };
   using Records = std::unordered_map<std::string, Record>;
   using SurvivalCounts = std::unordered_map<std::string, std::uint64_t>;
 
@@ -115,10 +134,18 @@
   std::uint64_t RecentSurvivals(const std::string& key) const;
   void RememberSurvival(const std::string& key);
   static std::int64_t ScoreOf(const Record& record);
+  /// Returns the number of attempts begun since the last clearance.
+  static std::int64_t BegunOf(const Record& record);
+  /// Returns whether a crash is explained by quarantined work that is begun
+  /// less often than that of `record`.
+  bool IsExplained(const Record& record, const std::string& crash) const;
+  /// Removes the crashes of the quarantined work of `culprit` from the records
+  /// of work that is begun more often.
+  void Explain(const Record& culprit);
   kernel::Millis QuarantineTime(const std::string& key,
                                 const Record& record) const;
-  /// Adds a crash unless it is known.
-  /// @return whether it was new.
+  /// Adds a crash unless it is known or explained.
+  /// @return whether it was added.
   bool AddCrash(Record& record, const std::string& crash,
                 kernel::TimePoint expires_at) const;
   /// Quarantines the work of `record` if its latest crash requires it.
@@ -134,6 +161,8 @@
   AttributionLimits limits;
   mutable std::mutex mutex;  ///< Guards all members below.
   Records records;
+  /// Crashes of quarantined work.
+  std::map<std::string, ExplainedCrash> explained;
   /// Recent survivals of work without a record, at most `excess` for each key.
   /// Older ones are in `previous_survivals`.
   SurvivalCounts survivals;
--- a/src/evidence/internal/crash_attribution.cc
+++ b/src/evidence/internal/crash_attribution.cc
@@ -85,6 +85,7 @@
 bool CrashAttribution::AddCrash(Record& record, const std::string& crash,
                                 kernel::TimePoint expires_at) const {
   if (record.cleared.count(crash) > 0) return false;
+  if (this->IsExplained(record, crash)) return false;
   if (!record.crashes.insert(crash).second) return false;
   record.expires_at = std::max(record.expires_at, expires_at);
   return true;
@@ -93,17 +94,64 @@
 CrashAttribution::Reports CrashAttribution::RecordCrash(
     const Keys& keys, const std::string& crash, kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  Reports reports;
+  std::vector<std::pair<std::string, Record*>> suspects;
   for (const std::string& key : keys) {
     Record* const record = this->FindOrAdd(key);
-    if (record == nullptr) continue;
-    if (!this->AddCrash(*record, crash, now + this->limits.lifetime)) continue;
+    const bool is_added =
+        record != nullptr &&
+        this->AddCrash(*record, crash, now + this->limits.lifetime);
+    if (is_added) suspects.emplace_back(key, record);
+  }
+  // The work that is begun least often explains the crash best.
+  std::stable_sort(suspects.begin(), suspects.end(),
+                   [](const auto& left, const auto& right) {
+                     return BegunOf(*left.second) < BegunOf(*right.second);
+                   });
+  Reports reports;
+  for (const auto& [key, record] : suspects) {
     this->JudgeCrash(key, *record, now);
     reports.push_back(this->ToReport(key, *record, now));
   }
   return reports;
 }
 
+CrashAttribution::Reports CrashAttribution::RecordBegun(const Keys& keys,
+                                                        kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Reports reports;
+  for (const std::string& key : keys) {
+    const auto found = this->records.find(key);
+    if (found == this->records.end()) continue;
+    const std::uint64_t count = ++found->second.begun[this->node];
+    if (IsReported(count))
+      reports.push_back(this->ToReport(key, found->second, now));
+  }
+  return reports;
+}
+
+std::int64_t CrashAttribution::BegunOf(const Record& record) {
+  return Total(record.begun) - record.cleared_begun;
+}
+
+bool CrashAttribution::IsExplained(const Record& record,
+                                   const std::string& crash) const {
+  const auto found = this->explained.find(crash);
+  return found != this->explained.end() &&
+         BegunOf(record) > found->second.begun;
+}
+
+void CrashAttribution::Explain(const Record& culprit) {
+  const std::int64_t begun = BegunOf(culprit);
+  for (const std::string& crash : culprit.crashes) {
+    this->explained.emplace(crash, ExplainedCrash{begun, culprit.expires_at});
+    for (auto& [key, record] : this->records) {
+      const bool is_explained =
+          BegunOf(record) > begun && record.crashes.erase(crash) > 0;
+      if (is_explained) record.cleared.insert(crash);
+    }
+  }
+}
+
 CrashAttribution::Reports CrashAttribution::RecordSurvival(
     const Keys& keys, kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
@@ -142,12 +190,15 @@
   std::uint64_t& known = record->survivals[report.node];
   const bool has_survivals = report.survivals > known;
   known = std::max(known, report.survivals);
+  std::uint64_t& begun = record->begun[report.node];
+  const bool has_begun = report.begun > begun;
+  begun = std::max(begun, report.begun);
   bool has_crashes = false;
   for (const std::string& crash : report.crashes)
     has_crashes |= this->AddCrash(*record, crash, now + remaining);
   if (has_survivals) this->JudgeSurvival(report.key, *record);
   if (has_crashes) this->JudgeCrash(report.key, *record, now);
-  return has_survivals || has_crashes;
+  return has_survivals || has_begun || has_crashes;
 }
 
 std::int64_t CrashAttribution::ScoreOf(const Record& record) {
@@ -169,9 +220,12 @@
 void CrashAttribution::JudgeCrash(const std::string& key, Record& record,
                                   kernel::TimePoint now) {
   if (ScoreOf(record) < this->limits.excess) return;
+  const auto crashes = static_cast<std::int64_t>(record.crashes.size());
+  if (BegunOf(record) > crashes * this->limits.begun_per_crash) return;
   record.quarantined_until = now + this->QuarantineTime(key, record);
   ++record.quarantines;
   this->SetQuarantined(key, record, true);
+  this->Explain(record);
 }
 
 void CrashAttribution::JudgeSurvival(const std::string& key, Record& record) {
@@ -181,6 +235,7 @@
   record.cleared.insert(record.crashes.begin(), record.crashes.end());
   record.crashes.clear();
   record.cleared_survivals = Total(record.survivals) - this->limits.excess;
+  record.cleared_begun = Total(record.begun);
 }
 
 void CrashAttribution::SetQuarantined(const std::string& key, Record& record,
@@ -205,6 +260,10 @@
   for (auto it = this->records.begin(); it != this->records.end();) {
     it = it->second.expires_at <= now ? this->records.erase(it) : std::next(it);
   }
+  for (auto it = this->explained.begin(); it != this->explained.end();) {
+    it = it->second.expires_at <= now ? this->explained.erase(it)
+                                      : std::next(it);
+  }
   if (now - this->survivals_since < this->limits.survival_memory) return;
   this->survivals_since = now;
   this->previous_survivals.swap(this->survivals);
@@ -227,6 +286,8 @@
   report.crashes.assign(record.crashes.begin(), record.crashes.end());
   const auto own = record.survivals.find(this->node);
   report.survivals = own == record.survivals.end() ? 0 : own->second;
+  const auto own_begun = record.begun.find(this->node);
+  report.begun = own_begun == record.begun.end() ? 0 : own_begun->second;
   report.lifetime_ms = static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, kernel::MillisBetween(now, record.expires_at)));
   return report;
--- a/src/evidence/tests/crash_attribution_test.cc
+++ b/src/evidence/tests/crash_attribution_test.cc
@@ -206,6 +206,64 @@
                 second.QuarantinedUntil({"work"}, kNow)->time_since_epoch());
 }
 
+Test(crash_attribution, finds_the_part_that_different_requests_have_in_common) {
+  CrashAttribution gateway = Gateway();
+  for (int i = 0; i < 3; ++i) {
+    const std::string number = std::to_string(i);
+    gateway.RecordBegun({"first", "own" + number}, kNow);
+    gateway.RecordCrash({"first", "poison", "own" + number}, "c" + number,
+                        kNow);
+    gateway.RecordSurvival({"first", "other"}, kNow);
+  }
+  cr_assert(IsQuarantined(gateway, "poison"));
+  cr_assert_not(IsQuarantined(gateway, "first"));
+  cr_assert_not(IsQuarantined(gateway, "own0"));
+}
+
+Test(crash_attribution, spares_a_common_part_when_nothing_survives_a_storm) {
+  CrashAttribution first = Gateway("g1");
+  CrashAttribution second = Gateway("g2");
+  for (int i = 0; i < 20; ++i) {
+    const std::string crash = "c" + std::to_string(i);
+    Send(first.RecordCrash({"first", "poison"}, crash, kNow), second);
+    // Endpoints begin to respond to sound requests, and the next crash ends
+    // them.
+    for (int k = 0; k < 5; ++k) {
+      Send(first.RecordBegun({"first"}, kNow), second);
+      Send(second.RecordBegun({"first"}, kNow), first);
+    }
+    cr_assert_not(IsQuarantined(first, "first"), "crash %d", i);
+    cr_assert_not(IsQuarantined(second, "first"), "crash %d", i);
+  }
+  cr_assert(IsQuarantined(first, "poison"));
+  cr_assert(IsQuarantined(second, "poison"));
+}
+
+Test(crash_attribution, explains_a_crash_by_the_part_that_is_begun_least) {
+  CrashAttribution gateway = Gateway();
+  for (const char* crash : {"c1", "c2", "c3"}) {
+    gateway.RecordCrash({"first", "poison"}, crash, kNow);
+    gateway.RecordBegun({"first"}, kNow);
+  }
+  cr_assert(IsQuarantined(gateway, "poison"));
+  cr_assert_not(IsQuarantined(gateway, "first"));
+  // Nothing but the quarantined part explains these crashes either.
+  gateway.RecordCrash({"first", "poison"}, "c4", kNow);
+  cr_assert_not(IsQuarantined(gateway, "first"));
+}
+
+Test(crash_attribution, quarantines_a_part_that_was_begun_often_before) {
+  CrashAttribution gateway = Gateway();
+  gateway.RecordCrash({"part"}, "c0", kNow);
+  for (int i = 0; i < 100; ++i) {
+    gateway.RecordBegun({"part"}, kNow);
+    gateway.RecordSurvival({"part"}, kNow);
+  }
+  for (int i = 1; i <= 6; ++i)
+    gateway.RecordCrash({"part"}, "c" + std::to_string(i), kNow);
+  cr_assert(IsQuarantined(gateway, "part"));
+}
+
 Test(crash_attribution, keeps_a_bounded_number_of_records) {
   CrashAttribution gateway = Gateway();
   const std::size_t bound = AttributionLimits{}.max_records;
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -495,12 +495,15 @@
   /// Number of attempts with this work at the reporting gateway that endpoints
   /// survived after the first crash.
   std::uint64_t survivals = 0;
+  /// Number of attempts with this work at the reporting gateway to which
+  /// endpoints began to respond.
+  std::uint64_t begun = 0;
   /// Milliseconds until the evidence expires.
   std::uint64_t lifetime_ms = 0;
 
   template <typename Visitor>
   void Visit(Visitor& visit) {
-    visit(this->key, this->node, this->crashes, this->survivals,
+    visit(this->key, this->node, this->crashes, this->survivals, this->begun,
           this->lifetime_ms);
   }
 };
