End a stream whose event never ends

A server in trouble may send bytes without end and without an empty line. The gateway kept them all, and searched them from the start at each read, until the caller's deadline or the limit of its memory. Cause: EventSplitter had no bound, and its time grew with the square of the size of an event. Change: it searches each byte once; an incomplete event of more than 256 KB ends the attempt as broken. Why it works: what a stream may hold back is bounded for each attempt, whatever arrives.

--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -260,7 +260,9 @@
     }
     this->actions.push_back(SendEvents{std::move(text)});
   }
-  if (continues) return;
+  const bool is_endless =
+      this->splitter.PartialEventBytes() > this->context.limits.max_event_bytes;
+  if (continues && !is_endless) return;
   this->CancelAttempt(AttemptResult::kBroken);
   this->OnResponseLost(AttemptResult::kBroken, now);
 }
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -61,6 +61,9 @@
   /// Size in bytes of the largest response that is buffered before it is sent
   /// to the caller.
   std::size_t max_response_bytes = std::size_t{4} * 1024 * 1024;
+  /// Size in bytes of the largest event of a stream. An endpoint whose event is
+  /// larger sends no valid stream.
+  std::size_t max_event_bytes = std::size_t{256} * 1024;
 };
 
 /// Objects of the gateway that a flow uses. All of them outlive the flow.
--- a/src/direct/internal/event_splitter.cc
+++ b/src/direct/internal/event_splitter.cc
@@ -7,18 +7,6 @@
 
 constexpr std::string_view kIdField = "id:";
 
-/// Returns the end of the first event in `text`, or npos.
-std::size_t EndOfEvent(std::string_view text) {
-  std::size_t line_start = 0;
-  while (true) {
-    const std::size_t end = text.find('\n', line_start);
-    if (end == std::string_view::npos) return end;
-    const std::string_view line = text.substr(line_start, end - line_start);
-    if (line.empty() || line == "\r") return end + 1;
-    line_start = end + 1;
-  }
-}
-
 std::optional<std::uint64_t> IdOf(std::string_view event) {
   for (std::string_view line : kernel::Split(event, '\n')) {
     if (!kernel::StartsWith(line, kIdField)) continue;
@@ -33,15 +21,24 @@
 std::vector<StreamEvent> EventSplitter::Feed(std::string_view data) {
   this->buffer += data;
   std::vector<StreamEvent> events;
-  std::string_view remaining = this->buffer;
+  std::size_t event_start = 0;
+  const std::string_view text = this->buffer;
   while (true) {
-    const std::size_t end = EndOfEvent(remaining);
-    if (end == std::string_view::npos) break;
-    const std::string_view event = remaining.substr(0, end);
+    const std::size_t line_end = text.find('\n', this->searched);
+    if (line_end == std::string_view::npos) break;
+    const std::string_view line =
+        text.substr(this->line_start, line_end - this->line_start);
+    this->searched = line_end + 1;
+    this->line_start = this->searched;
+    if (!line.empty() && line != "\r") continue;
+    const std::string_view event =
+        text.substr(event_start, this->searched - event_start);
     events.push_back({IdOf(event), std::string(event)});
-    remaining.remove_prefix(end);
+    event_start = this->searched;
   }
-  this->buffer = std::string(remaining);
+  this->buffer.erase(0, event_start);
+  this->line_start -= event_start;
+  this->searched = this->buffer.size();
   return events;
 }
 
--- a/src/direct/internal/event_splitter.h
+++ b/src/direct/internal/event_splitter.h
@@ -15,7 +15,8 @@
 };
 
 /// Splits a stream into its events. An incomplete event is kept until its end
-/// arrives.
+/// arrives. The time that this takes grows with the number of bytes, whatever
+/// the sizes of events and of the blocks that arrive.
 class EventSplitter {
  public:
   /// Adds the next bytes.
@@ -25,8 +26,13 @@
   /// Returns whether an incomplete event is buffered.
   bool HasPartialEvent() const { return !this->buffer.empty(); }
 
+  /// Returns the size of the incomplete event, in bytes.
+  std::size_t PartialEventBytes() const { return this->buffer.size(); }
+
  private:
   std::string buffer;
+  std::size_t line_start = 0;  ///< Start of the last line in `buffer`.
+  std::size_t searched = 0;    ///< Bytes of `buffer` searched for line ends.
 };
 
 }  // namespace banyanlane::direct
