Leave an endpoint that sends bytes but completes no event

Callers of a resumable stream waited until their deadline for an endpoint that sent a byte now and then, while sound endpoints were free. Cause: any byte counted as progress of the stream and of its endpoint. Change: only complete events do. Why it works: a stalled stream is recognised by what callers receive, and a slow sound one still sends events.

--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -236,9 +236,26 @@
 void DirectFlow::ProcessEvents(std::string_view data, kernel::TimePoint now) {
   std::string text;
   bool continues = true;
-  for (const StreamEvent& event : this->splitter.Feed(data)) {
+  const std::vector<StreamEvent> events = this->splitter.Feed(data);
+  for (const StreamEvent& event : events)
     continues = continues && this->AppendEvent(event, text);
+  if (!events.empty()) this->OnProgress(now);
+  if (!text.empty()) {
+    if (!this->head_sent) {
+      this->head_sent = true;
+      this->actions.push_back(
+          SendStreamHead{this->head.status, this->head.headers});
+    }
+    this->actions.push_back(SendEvents{std::move(text)});
   }
+  const bool is_endless =
+      this->splitter.PartialEventBytes() > this->context.limits.max_event_bytes;
+  if (continues && !is_endless) return;
+  this->CancelAttempt(AttemptResult::kBroken);
+  this->OnResponseLost(AttemptResult::kBroken, now);
+}
+
+void DirectFlow::OnProgress(kernel::TimePoint now) {
   this->context.pool.OnProgress(*this->endpoint, now);
   if (!this->attempt_has_events) {
     this->attempt_has_events = true;
@@ -252,19 +269,6 @@
     this->ReportEndpointSurvived();
   if (this->attempt_deadline != this->deadline)
     this->attempt_deadline = now + this->context.limits.stream_stall_timeout;
-  if (!text.empty()) {
-    if (!this->head_sent) {
-      this->head_sent = true;
-      this->actions.push_back(
-          SendStreamHead{this->head.status, this->head.headers});
-    }
-    this->actions.push_back(SendEvents{std::move(text)});
-  }
-  const bool is_endless =
-      this->splitter.PartialEventBytes() > this->context.limits.max_event_bytes;
-  if (continues && !is_endless) return;
-  this->CancelAttempt(AttemptResult::kBroken);
-  this->OnResponseLost(AttemptResult::kBroken, now);
 }
 
 bool DirectFlow::AppendEvent(const StreamEvent& event, std::string& text) {
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -127,6 +127,9 @@
   void LeaveQueue(kernel::TimePoint now);
 
   void ProcessEvents(std::string_view data, kernel::TimePoint now);
+  /// Records that complete events have arrived. Parts of events do not count,
+  /// since an endpoint in trouble may send bytes that never complete one.
+  void OnProgress(kernel::TimePoint now);
   /// Appends `event` to `text` unless the caller has received it already.
   /// @return false when events are missing between the caller's last event and
   /// this one.
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -141,7 +141,7 @@
                     const std::set<std::string>& excluded,
                     kernel::TimePoint now);
 
-  /// Records that an endpoint has sent an event or a part of one.
+  /// Records that an endpoint has sent an event.
   void OnProgress(const EndpointChoice& choice, kernel::TimePoint now);
 
   /// Records the time from the beginning of an attempt to its first event.
