--- a/src/agent/internal/agent_service.cc
+++ b/src/agent/internal/agent_service.cc
@@ -210,6 +210,8 @@
   limits.connect_timeout = kConnectTimeout;
   limits.head_timeout = action.head_timeout;
   limits.body_idle_timeout = kBodyIdleTimeout;
+  // The stream bounds what the agent keeps of a response.
+  limits.max_body_bytes = http::kUnlimitedBody;
   // The lock of the map's shard is held until the call is stored, so that a
   // call that ends immediately is erased only after it was stored.
   this->calls.With(action.stream, [&](std::shared_ptr<http::IHttpCall>& call) {
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -130,6 +130,8 @@
   limits.head_timeout = call_timeout;
   limits.body_idle_timeout = call_timeout;
   limits.close_ends_response = true;
+  // The flow bounds what it keeps of a response.
+  limits.max_body_bytes = http::kUnlimitedBody;
   this->call_attempt = action.attempt;
   this->call = this->environment.runtime->Call(
       action.endpoint.address, std::move(message), limits,
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -59,6 +60,11 @@
   virtual void Resume() = 0;
 };
 
+/// Value of CallLimits::max_body_bytes for streams, whose receiver keeps only
+/// parts of them.
+inline constexpr std::uint64_t kUnlimitedBody =
+    std::numeric_limits<std::uint64_t>::max();
+
 /// Limits and options of one call.
 struct CallLimits {
   kernel::Millis connect_timeout{1'000};
@@ -66,6 +72,12 @@
   kernel::Millis head_timeout{60'000};
   /// Maximum time between two reads of the response body.
   kernel::Millis body_idle_timeout{10'000};
+  /// Maximum time from the start of the call to the end of the response; 0 for
+  /// no limit.
+  kernel::Millis total_timeout{0};
+  /// Maximum size of the response body in bytes. The call fails at a larger
+  /// one.
+  std::uint64_t max_body_bytes = std::uint64_t{16} * 1024 * 1024;
   /// Whether an orderly close of the connection completes a response that has
   /// no length. A reset never completes a response.
   bool close_ends_response = false;
--- a/src/http/internal/http_call.cc
+++ b/src/http/internal/http_call.cc
@@ -1,7 +1,7 @@
 #include "http/internal/http_call.h"
 
+#include <algorithm>
 #include <array>
-#include <limits>
 
 namespace banyanlane::http {
 namespace {
@@ -36,6 +36,8 @@
       request(std::move(request)),
       limits(limits),
       observer(std::move(observer)) {
+  if (limits.total_timeout.count() > 0)
+    this->deadline = kernel::Clock::now() + limits.total_timeout;
   if (!this->is_reused)
     this->connection = std::make_shared<HttpConnection>(this->strand);
 }
@@ -80,14 +82,14 @@
   if (!this->Connect(yield)) return;
   if (!this->SendRequest(yield)) return;
   Parser parser;
-  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser.body_limit(this->limits.max_body_bytes);
   if (!this->ReadHead(parser, yield)) return;
   this->ReadBody(parser, yield);
 }
 
 bool HttpCall::TryIdleConnection(Parser& parser, asio::yield_context yield) {
   if (!this->is_reused || this->aborted) return false;
-  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser.body_limit(this->limits.max_body_bytes);
   this->SetResetOnClose(true);
   beast::error_code failure = this->WriteRequest(yield);
   if (!failure) {
@@ -145,7 +147,8 @@
   message.body() = {this->request.body.data(), this->request.body.size()};
   message.prepare_payload();
   beast::error_code failure;
-  this->connection->stream.expires_after(this->limits.head_timeout);
+  this->connection->stream.expires_at(std::min(
+      kernel::Clock::now() + this->limits.head_timeout, this->deadline));
   beast::http::async_write(this->connection->stream, message, yield[failure]);
   return failure;
 }
@@ -181,7 +184,8 @@
     parser.get().body().data = block.data();
     parser.get().body().size = block.size();
     beast::error_code failure;
-    this->connection->stream.expires_after(this->limits.body_idle_timeout);
+    this->connection->stream.expires_at(std::min(
+        kernel::Clock::now() + this->limits.body_idle_timeout, this->deadline));
     beast::http::async_read_some(this->connection->stream,
                                  this->connection->buffer, parser,
                                  yield[failure]);
--- a/src/http/internal/http_call.h
+++ b/src/http/internal/http_call.h
@@ -60,6 +60,7 @@
   HttpRequest request;
   CallLimits limits;
   std::shared_ptr<IHttpCallObserver> observer;
+  kernel::TimePoint deadline = kernel::TimePoint::max();
   bool paused = false;
   bool aborted = false;
 };
--- a/src/http/tests/http_call_test.cc
+++ b/src/http/tests/http_call_test.cc
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <condition_variable>
+#include <limits>
 #include <mutex>
 
 #include "http/i_http_runtime.h"
@@ -52,6 +53,23 @@
     }
   }
 
+  /// Sends a response head without a length and then a body, until the peer
+  /// closes the connection or `limit` bytes are sent.
+  /// @return the number of body bytes.
+  std::size_t SendBodyUntilClosed(std::size_t limit) {
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    send(this->connection, head.data(), head.size(), MSG_NOSIGNAL);
+    std::size_t total = 0;
+    ssize_t count = 0;
+    while (total < limit && count >= 0) {
+      count = send(this->connection, this->block.data(), this->block.size(),
+                   MSG_NOSIGNAL);
+      total += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+    shutdown(this->connection, SHUT_WR);
+    return total;
+  }
+
   /// Reads until the connection ends, and returns the number of bytes.
   std::size_t ReadToEnd() {
     std::size_t total = 0;
@@ -99,6 +117,8 @@
 constexpr std::size_t kBodyBytes = 12'000;
 /// Upper bound of the request's head.
 constexpr std::size_t kHeadBytes = 200;
+/// More than the body of any response that a call accepts by default.
+constexpr std::size_t kEndlessBytes = std::size_t{256} * 1024 * 1024;
 
 HttpRequest LargeRequest() {
   HttpRequest request;
@@ -141,4 +161,36 @@
   runtime->Stop();
 }
 
+Test(http_call, ends_a_response_body_without_end) {
+  SlowServer server;
+  const auto runtime = MakeHttpRuntime();
+  runtime->Start(1);
+  const auto observer = std::make_shared<EndObserver>();
+  CallLimits limits;
+  limits.close_ends_response = true;
+  runtime->Call(server.address(), HttpRequest{}, limits, observer);
+  server.AcceptAndAwait(0);
+  const std::size_t sent = server.SendBodyUntilClosed(kEndlessBytes);
+  observer->AwaitEnd();
+  cr_expect_lt(sent, kEndlessBytes, "%zu", sent);
+  runtime->Stop();
+}
+
+Test(http_call, ends_a_response_that_goes_on_beyond_its_total_time) {
+  SlowServer server;
+  const auto runtime = MakeHttpRuntime();
+  runtime->Start(1);
+  const auto observer = std::make_shared<EndObserver>();
+  CallLimits limits;
+  limits.close_ends_response = true;
+  limits.max_body_bytes = kUnlimitedBody;
+  limits.total_timeout = kernel::Millis(200);
+  runtime->Call(server.address(), HttpRequest{}, limits, observer);
+  server.AcceptAndAwait(0);
+  // Ends only when the call closes its connection.
+  server.SendBodyUntilClosed(std::numeric_limits<std::size_t>::max());
+  observer->AwaitEnd();
+  runtime->Stop();
+}
+
 }  // namespace banyanlane::http
