Spare popular work when many endpoints are lost at once

Callers of a route were refused for up to a minute after several endpoints had crashed together for another reason. Cause: survivals counted only up to a credit of three, which a handful of simultaneous crashes used up, and the attempts begun were forgotten at each clearance. Change: survivals and begun attempts are counted in windows of 10 s, also for work without any crash yet; the current window and the one before it count. Evidence: crash_attribution/spares_popular_work_when_many_endpoints_are_lost and still_quarantines_work_that_was_sound_until_recently failed before; 233 tests passed, 0 failed. Why it works: how often work was sound in the last seconds is compared with how many crashes it was in, whatever their number.

--- a/src/evidence/crash_attribution.h
+++ b/src/evidence/crash_attribution.h
@@ -17,9 +17,8 @@
 /// Bounds of the evidence against work.
 struct AttributionLimits {
   /// Work is quarantined when the crashes that ended its attempts outnumber the
-  /// attempts that endpoints survived by this number. It is cleared when it is
-  /// the other way round. Further survivals do not count, so that work which
-  /// was sound for long can still be quarantined.
+  /// attempts that endpoints have survived recently by this number. It is
+  /// cleared, and its crashes are forgotten, when it is the other way round.
   std::int64_t excess = 3;
   /// Work that endpoints have begun to respond to more often than this for each
   /// of its crashes is not quarantined. Work that crashes endpoints does so
@@ -34,15 +33,22 @@
   /// Time between two attempts of one gateway at work whose quarantine has
   /// ended, until the work is cleared.
   kernel::Millis probe_interval{5'000};
-  /// Time for which survivals before the first crash are remembered.
-  kernel::Millis survival_memory{10'000};
+  /// Windows of this length are counted; the current one and the one before it
+  /// are recent. Work that was sound before can still be quarantined.
+  kernel::Millis memory{10'000};
   /// Time after the latest crash at which evidence expires.
   kernel::Millis lifetime{600'000};
-  /// Maximum number of keys for which evidence is kept, and of keys whose
-  /// recent survivals are remembered.
+  /// Maximum number of keys for which evidence is kept, and of other keys that
+  /// are counted.
   std::size_t max_records = 4'096;
 };
 
+/// Numbers of attempts at some work.
+struct WorkCounts {
+  std::int64_t begun = 0;      ///< Endpoints began to respond.
+  std::int64_t survivals = 0;  ///< Endpoints survived them.
+};
+
 /// Finds the work that crashes endpoints, from what several gateways observe.
 ///
 /// Work has keys, which requests with the same work share. Each gateway reports
@@ -111,10 +117,10 @@
     std::map<std::string, std::uint64_t> survivals;
     /// Number of begun attempts that each gateway has reported.
     std::map<std::string, std::uint64_t> begun;
-    /// Number of begun attempts at the last clearance.
-    std::int64_t cleared_begun = 0;
-    /// Number of survivals at the last clearance.
-    std::int64_t cleared_survivals = 0;
+    /// Totals of the counts above when the current window of
+    /// AttributionLimits::memory began, and the one before it.
+    WorkCounts window_start;
+    WorkCounts previous_window_start;
     bool is_quarantined = false;
     kernel::TimePoint quarantined_until;
     int quarantines = 0;
@@ -126,15 +132,21 @@
     kernel::TimePoint expires_at;
   };
   using Records = std::unordered_map<std::string, Record>;
-  using SurvivalCounts = std::unordered_map<std::string, std::uint64_t>;
+  using CountsByKey = std::unordered_map<std::string, WorkCounts>;
 
   /// Returns the record of `key`, or null if there is no space for a new one.
   Record* FindOrAdd(const std::string& key);
-  /// Returns the number of recent survivals of work that has no record.
-  std::uint64_t RecentSurvivals(const std::string& key) const;
-  void RememberSurvival(const std::string& key);
+  /// Returns the recent counts of work that has no record.
+  WorkCounts RecentCounts(const std::string& key) const;
+  /// Returns where to count attempts at work that has no record, or null if
+  /// there is no space.
+  WorkCounts* CountsWithoutRecord(const std::string& key);
+  /// Returns the counts of the current window and the one before it.
+  static WorkCounts RecentCounts(const Record& record);
+  void BeginWindow(kernel::TimePoint now);
+  /// Returns by how much crashes outnumber recent survivals.
   static std::int64_t ScoreOf(const Record& record);
-  /// Returns the number of attempts begun since the last clearance.
+  /// Returns the number of recently begun attempts.
   static std::int64_t BegunOf(const Record& record);
   /// Returns whether a crash is explained by quarantined work that is begun
   /// less often than that of `record`.
@@ -163,11 +175,11 @@
   Records records;
   /// Crashes of quarantined work.
   std::map<std::string, ExplainedCrash> explained;
-  /// Recent survivals of work without a record, at most `excess` for each key.
-  /// Older ones are in `previous_survivals`.
-  SurvivalCounts survivals;
-  SurvivalCounts previous_survivals;
-  kernel::TimePoint survivals_since;
+  /// Counts of the current window for work without a record, and those of the
+  /// one before it.
+  CountsByKey counts;
+  CountsByKey previous_counts;
+  kernel::TimePoint window_began_at;
   std::vector<Change> changes;
 };
 
--- a/src/evidence/internal/crash_attribution.cc
+++ b/src/evidence/internal/crash_attribution.cc
@@ -53,23 +53,27 @@
   return is_probe;
 }
 
-std::uint64_t CrashAttribution::RecentSurvivals(const std::string& key) const {
-  std::uint64_t count = 0;
-  for (const SurvivalCounts* counts :
-       {&this->survivals, &this->previous_survivals}) {
-    const auto found = counts->find(key);
-    if (found != counts->end()) count += found->second;
+WorkCounts CrashAttribution::RecentCounts(const std::string& key) const {
+  WorkCounts sum;
+  for (const CountsByKey* window : {&this->counts, &this->previous_counts}) {
+    const auto found = window->find(key);
+    if (found == window->end()) continue;
+    sum.begun += found->second.begun;
+    sum.survivals += found->second.survivals;
   }
-  return std::min(count, static_cast<std::uint64_t>(this->limits.excess));
+  return sum;
 }
 
-void CrashAttribution::RememberSurvival(const std::string& key) {
-  const auto found = this->survivals.find(key);
-  if (found != this->survivals.end()) {
-    ++found->second;
-  } else if (this->survivals.size() < this->limits.max_records) {
-    this->survivals[key] = 1;
-  }
+WorkCounts* CrashAttribution::CountsWithoutRecord(const std::string& key) {
+  const auto found = this->counts.find(key);
+  if (found != this->counts.end()) return &found->second;
+  if (this->counts.size() >= this->limits.max_records) return nullptr;
+  return &this->counts[key];
+}
+
+WorkCounts CrashAttribution::RecentCounts(const Record& record) {
+  return {Total(record.begun) - record.previous_window_start.begun,
+          Total(record.survivals) - record.previous_window_start.survivals};
 }
 
 CrashAttribution::Record* CrashAttribution::FindOrAdd(const std::string& key) {
@@ -77,8 +81,9 @@
   if (found != this->records.end()) return &found->second;
   if (this->records.size() >= this->limits.max_records) return nullptr;
   Record& added = this->records[key];
-  const std::uint64_t recent = this->RecentSurvivals(key);
-  if (recent > 0) added.survivals[this->node] = recent;
+  const WorkCounts recent = this->RecentCounts(key);
+  added.begun[this->node] = static_cast<std::uint64_t>(recent.begun);
+  added.survivals[this->node] = static_cast<std::uint64_t>(recent.survivals);
   return &added;
 }
 
@@ -121,7 +126,11 @@
   Reports reports;
   for (const std::string& key : keys) {
     const auto found = this->records.find(key);
-    if (found == this->records.end()) continue;
+    if (found == this->records.end()) {
+      WorkCounts* const work = this->CountsWithoutRecord(key);
+      if (work != nullptr) ++work->begun;
+      continue;
+    }
     const std::uint64_t count = ++found->second.begun[this->node];
     if (IsReported(count))
       reports.push_back(this->ToReport(key, found->second, now));
@@ -130,7 +139,7 @@
 }
 
 std::int64_t CrashAttribution::BegunOf(const Record& record) {
-  return Total(record.begun) - record.cleared_begun;
+  return RecentCounts(record).begun;
 }
 
 bool CrashAttribution::IsExplained(const Record& record,
@@ -159,7 +168,8 @@
   for (const std::string& key : keys) {
     const auto found = this->records.find(key);
     if (found == this->records.end()) {
-      this->RememberSurvival(key);
+      WorkCounts* const work = this->CountsWithoutRecord(key);
+      if (work != nullptr) ++work->survivals;
       continue;
     }
     Record& record = found->second;
@@ -203,7 +213,7 @@
 
 std::int64_t CrashAttribution::ScoreOf(const Record& record) {
   return static_cast<std::int64_t>(record.crashes.size()) -
-         (Total(record.survivals) - record.cleared_survivals);
+         RecentCounts(record).survivals;
 }
 
 kernel::Millis CrashAttribution::QuarantineTime(const std::string& key,
@@ -234,8 +244,6 @@
   if (score > -this->limits.excess) return;
   record.cleared.insert(record.crashes.begin(), record.crashes.end());
   record.crashes.clear();
-  record.cleared_survivals = Total(record.survivals) - this->limits.excess;
-  record.cleared_begun = Total(record.begun);
 }
 
 void CrashAttribution::SetQuarantined(const std::string& key, Record& record,
@@ -264,10 +272,19 @@
     it = it->second.expires_at <= now ? this->explained.erase(it)
                                       : std::next(it);
   }
-  if (now - this->survivals_since < this->limits.survival_memory) return;
-  this->survivals_since = now;
-  this->previous_survivals.swap(this->survivals);
-  this->survivals.clear();
+  if (now - this->window_began_at >= this->limits.memory)
+    this->BeginWindow(now);
+}
+
+void CrashAttribution::BeginWindow(kernel::TimePoint now) {
+  this->window_began_at = now;
+  this->previous_counts.swap(this->counts);
+  this->counts.clear();
+  for (auto& entry : this->records) {
+    Record& record = entry.second;
+    record.previous_window_start = record.window_start;
+    record.window_start = {Total(record.begun), Total(record.survivals)};
+  }
 }
 
 std::vector<CrashAttribution::Change> CrashAttribution::TakeChanges() {
