Count a failure response of an endpoint not as survived work

Cause: an endpoint that fails a part of its requests before it runs them would clear quarantined work, and the work would crash endpoints again. Found while reading the change. Change: only a complete successful response counts.

--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -316,8 +316,9 @@
 }
 
 void DirectFlow::OnCompleteResponse(kernel::TimePoint now) {
-  this->ReportEndpointSurvived();
   const int status = this->head.status;
+  // An endpoint can respond with a failure without having run the work.
+  if (IsSuccess(status)) this->ReportEndpointSurvived();
   const bool failed = status >= kFirstServerErrorStatus;
   if (failed && this->request.IsRepeatable() && this->TryAcquireRetry(now)) {
     this->Release(AttemptResult::kFailed);
--- a/src/direct/tests/crash_flow_test.cc
+++ b/src/direct/tests/crash_flow_test.cc
@@ -98,12 +98,14 @@
   cr_assert_eq(harness.Count<CallEndpoint>(), 1, "a probe is not retried");
 }
 
-Test(crash_flow, reports_a_complete_response_as_survived) {
-  FlowHarness harness(false, true);
-  harness.Apply(harness.flow->Start(kStart));
-  harness.Apply(harness.flow->OnHead(1, HeadOf(500), kStart));
-  harness.Apply(harness.flow->OnEnd(1, kStart));
-  cr_assert_eq(harness.Count<ReportSurvival>(), 1);
+Test(crash_flow, reports_a_success_as_survived_but_no_failure) {
+  for (const int status : {200, 500}) {
+    FlowHarness harness(false, false);
+    harness.Apply(harness.flow->Start(kStart));
+    harness.Apply(harness.flow->OnHead(1, HeadOf(status), kStart));
+    harness.Apply(harness.flow->OnEnd(1, kStart));
+    cr_assert_eq(harness.Count<ReportSurvival>(), status == 200 ? 1 : 0);
+  }
 }
 
 Test(crash_flow, reports_nothing_about_an_attempt_that_never_connected) {
