Make room for evidence when many attempts ended at crashes

Cause: after 4,096 keys had evidence, work that crashes endpoints got none any more and was not bounded. Found while reading the change. Change: when there is no space, the evidence against work that was in progress at one crash only is removed. Evidence: crash_attribution/finds_work_that_crashes_endpoints_among_many_others replaces keeps_a_bounded_number_of_records and checks the bound as well; it needs the third crash to be counted beside 8,192 other keys. 233 tests passed, 0 failed.

--- a/src/evidence/crash_attribution.h
+++ b/src/evidence/crash_attribution.h
@@ -135,7 +135,10 @@
   using CountsByKey = std::unordered_map<std::string, WorkCounts>;
 
   /// Returns the record of `key`, or null if there is no space for a new one.
+  /// Pointers to other records are invalid after it has added one.
   Record* FindOrAdd(const std::string& key);
+  /// Removes the evidence against work that was in progress at one crash only.
+  void MakeRoom();
   /// Returns the recent counts of work that has no record.
   WorkCounts RecentCounts(const std::string& key) const;
   /// Returns where to count attempts at work that has no record, or null if
--- a/src/evidence/internal/crash_attribution.cc
+++ b/src/evidence/internal/crash_attribution.cc
@@ -79,6 +79,7 @@
 CrashAttribution::Record* CrashAttribution::FindOrAdd(const std::string& key) {
   const auto found = this->records.find(key);
   if (found != this->records.end()) return &found->second;
+  if (this->records.size() >= this->limits.max_records) this->MakeRoom();
   if (this->records.size() >= this->limits.max_records) return nullptr;
   Record& added = this->records[key];
   const WorkCounts recent = this->RecentCounts(key);
@@ -87,6 +88,14 @@
   return &added;
 }
 
+void CrashAttribution::MakeRoom() {
+  for (auto it = this->records.begin(); it != this->records.end();) {
+    const bool is_weak =
+        !it->second.is_quarantined && it->second.crashes.size() <= 1;
+    it = is_weak ? this->records.erase(it) : std::next(it);
+  }
+}
+
 bool CrashAttribution::AddCrash(Record& record, const std::string& crash,
                                 kernel::TimePoint expires_at) const {
   if (record.cleared.count(crash) > 0) return false;
@@ -99,13 +108,14 @@
 CrashAttribution::Reports CrashAttribution::RecordCrash(
     const Keys& keys, const std::string& crash, kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
+  for (const std::string& key : keys) this->FindOrAdd(key);
   std::vector<std::pair<std::string, Record*>> suspects;
   for (const std::string& key : keys) {
-    Record* const record = this->FindOrAdd(key);
+    const auto found = this->records.find(key);
     const bool is_added =
-        record != nullptr &&
-        this->AddCrash(*record, crash, now + this->limits.lifetime);
-    if (is_added) suspects.emplace_back(key, record);
+        found != this->records.end() &&
+        this->AddCrash(found->second, crash, now + this->limits.lifetime);
+    if (is_added) suspects.emplace_back(key, &found->second);
   }
   // The work that is begun least often explains the crash best.
   std::stable_sort(suspects.begin(), suspects.end(),
@@ -173,8 +183,8 @@
       continue;
     }
     Record& record = found->second;
-    // Only probes run while work is quarantined, and one that survives clears
-    // it.
+    // While work is quarantined, only probes and attempts that began before
+    // run. One that survives clears the work.
     const std::uint64_t weight =
         record.is_quarantined
             ? static_cast<std::uint64_t>(std::max<std::int64_t>(
--- a/src/evidence/tests/crash_attribution_test.cc
+++ b/src/evidence/tests/crash_attribution_test.cc
@@ -284,12 +284,18 @@
   cr_assert_not(IsQuarantined(gateway, "first"));
 }
 
-Test(crash_attribution, keeps_a_bounded_number_of_records) {
+Test(crash_attribution, finds_work_that_crashes_endpoints_among_many_others) {
   CrashAttribution gateway = Gateway();
   const std::size_t bound = AttributionLimits{}.max_records;
-  for (std::size_t i = 0; i < bound + 100; ++i)
+  for (const char* crash : {"c1", "c2"})
+    gateway.RecordCrash({"poison"}, crash, kNow);
+  for (std::size_t i = 0; i < bound * 2; ++i) {
     gateway.RecordCrash({"k" + std::to_string(i)}, "c", kNow);
-  cr_assert_eq(gateway.All(kNow).size(), bound);
+    if (i % 500 == 0) cr_assert_leq(gateway.All(kNow).size(), bound);
+  }
+  cr_assert_gt(gateway.All(kNow).size(), 1);
+  gateway.RecordCrash({"poison"}, "c3", kNow);
+  cr_assert(IsQuarantined(gateway, "poison"));
 }
 
 }  // namespace banyanlane::evidence
