--- a/tests/processes/gateway_fleet.cc
+++ b/tests/processes/gateway_fleet.cc
@@ -111,16 +111,28 @@
   return Await([&] { return this->Post(gateway, path, "").status == kOk; });
 }
 
-http::HttpResponse GatewayFleet::Post(const std::string& gateway,
-                                      const std::string& path,
-                                      const std::string& body,
-                                      const http::Headers& headers) {
+http::HttpRequest GatewayFleet::MakePost(const std::string& path,
+                                         const std::string& body,
+                                         const http::Headers& headers) {
   http::HttpRequest request{"POST", path, headers, body, ""};
   request.authority = "h.example";
   request.headers.emplace_back("x-request-id",
                                "r" + std::to_string(++this->sent_requests));
   request.headers.emplace_back("x-deadline-ms", "5000");
-  return this->SendRequest(gateway, std::move(request));
+  return request;
+}
+
+http::HttpResponse GatewayFleet::Post(const std::string& gateway,
+                                      const std::string& path,
+                                      const std::string& body,
+                                      const http::Headers& headers) {
+  return this->SendRequest(gateway, this->MakePost(path, body, headers));
+}
+
+std::shared_ptr<ResponseRecorder> GatewayFleet::StartPost(
+    const std::string& gateway, const std::string& path,
+    const std::string& body) {
+  return this->StartRequest(gateway, this->MakePost(path, body, {}));
 }
 
 int GatewayFleet::RunCount(const std::string& server) {
--- a/tests/processes/gateway_fleet.h
+++ b/tests/processes/gateway_fleet.h
@@ -43,10 +43,17 @@
   http::HttpResponse Post(const std::string& gateway, const std::string& path,
                           const std::string& body,
                           const http::Headers& headers = {});
+  /// Sends a request and returns without waiting for the response.
+  std::shared_ptr<ResponseRecorder> StartPost(const std::string& gateway,
+                                              const std::string& path,
+                                              const std::string& body);
   /// Returns how many requests the server has begun to run since its start.
   int RunCount(const std::string& server);
 
  private:
+  http::HttpRequest MakePost(const std::string& path, const std::string& body,
+                             const http::Headers& headers);
+
   std::string links;
   int sent_requests = 0;
   int writes = 0;
--- a/tests/standins/server_standin.cc
+++ b/tests/standins/server_standin.cc
@@ -17,6 +17,7 @@
 constexpr int kMisdirected = 421;
 constexpr int kEvents = 5;
 constexpr kernel::Millis kEventPause{5};
+constexpr kernel::Millis kSlowEventPause{200};
 /// Time from the beginning of a response to a crash, so that the gateway has
 /// received the beginning.
 constexpr kernel::Millis kCrashDelay{20};
@@ -60,9 +61,11 @@
       exchange.Reply({200, headers, this->id});
       return;
     }
+    const bool is_slow = request.body.find("SLOW") != std::string::npos;
     exchange.BeginStream(200, headers);
     for (int i = 0; i < kEvents; ++i) {
-      exchange.Wait(kernel::Clock::now() + kEventPause);
+      exchange.Wait(kernel::Clock::now() +
+                    (is_slow ? kSlowEventPause : kEventPause));
       const std::string event =
           "id: " + std::to_string(i) + "\ndata: " + this->id + "\n\n";
       if (!exchange.WriteChunk(event)) return;
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -34,10 +34,11 @@
 std::shared_ptr<http::IHttpHandler> MakeStore();
 
 /// Makes a server that gateways call directly. It streams five events for paths
-/// under /stream/, and otherwise responds with its id. It serves the number of
-/// executions by request id under /control/executions. A request whose body
-/// contains CRASH, or with a prompt part whose id contains "dead", ends the
-/// process after the beginning of the response.
+/// under /stream/, slowly if the body contains SLOW, and otherwise responds
+/// with its id. It serves the number of executions by request id under
+/// /control/executions. A request whose body contains CRASH, or with a prompt
+/// part whose id contains "dead", ends the process after the beginning of the
+/// response.
 /// @param id instance id in the list of endpoints.
 std::shared_ptr<http::IHttpHandler> MakeServer(const std::string& id);
 
