--- a/tests/processes/process_failure_test.cc
+++ b/tests/processes/process_failure_test.cc
@@ -128,9 +128,9 @@
   Fleet fleet;
   fleet.token_millis = 1;
   // The engine pauses only when the buffers between it and the agent are full.
-  // Its tokens are quick, since it closes a connection that is not read for 10 s
-  // (kTcpUserTimeoutMillis). The deadline and the resume grace time are longer
-  // than that.
+  // Its tokens are quick, since it closes a connection that is not read for 10
+  // s (kTcpUserTimeoutMillis). The deadline and the resume grace time are
+  // longer than that.
   StartSingleEntryFleet(
       fleet,
       ConfigWith("deadline_ms = 20000\nmax_output_tokens = "
