Test an absent store, and a gateway that starts after a quarantine

Cause: the process tests restored the store at once, and did not restart a gateway while work was quarantined. Change: gateway_store/serves_on_while_the_store_is_away_and_after_its_return, gateway_crash/a_gateway_that_starts_again_learns_what_crashes_endpoints.

--- a/tests/processes/gateway_crash_test.cc
+++ b/tests/processes/gateway_crash_test.cc
@@ -60,6 +60,26 @@
   }
 }
 
+Test(gateway_crash, a_gateway_that_starts_again_learns_what_crashes_endpoints) {
+  GatewayFleet fleet;
+  StartFleet(fleet);
+  for (int i = 0; i < 3; ++i) {
+    fleet.Post("g1", "/plain/a", "CRASH");
+    RestartEnded(fleet);
+    cr_assert(fleet.AwaitServed("g1", "/plain/a"));
+  }
+  fleet.Kill("g2");
+  const std::size_t log_size = fleet.ReadLog("g2").size();
+  fleet.StartGateway("g2");
+  cr_assert(Fleet::Await([&] {
+    return fleet.ReadLog("g2").find("work_quarantined", log_size) !=
+           std::string::npos;
+  }));
+  cr_assert(fleet.AwaitServed("g2", "/plain/a"));
+  cr_assert_eq(fleet.Post("g2", "/plain/a", "CRASH").status, kUnavailable);
+  cr_assert_eq(RestartEnded(fleet), 0);
+}
+
 Test(gateway_crash,
      a_prompt_part_that_crashes_endpoints_is_refused_in_any_request) {
   GatewayFleet fleet;
--- a/tests/processes/gateway_store_test.cc
+++ b/tests/processes/gateway_store_test.cc
@@ -69,4 +69,27 @@
   cr_assert(fleet.AwaitServed("g2", "/next/a"));
 }
 
+Test(gateway_store, serves_on_while_the_store_is_away_and_after_its_return) {
+  GatewayFleet fleet;
+  StartFleet(fleet);
+  fleet.CommandStore("copy");
+  fleet.PublishRoutes(12, {"/lost/"});
+  cr_assert(fleet.AwaitServed("g1", "/lost/a"));
+  fleet.CommandStore("mode", "down");
+  fleet.CommandStore("restore");
+  cr_assert(Fleet::Await([&] {
+    return fleet.ReadLog("g1").find("platform_unreachable") !=
+           std::string::npos;
+  }));
+  cr_assert_eq(fleet.Post("g1", "/lost/a", "").status, kOk);
+  fleet.CommandStore("mode", "ok");
+  cr_assert(Fleet::Await([&] {
+    return fleet.ReadLog("g1").find("platform_restored") != std::string::npos;
+  }));
+  cr_assert_eq(fleet.Post("g1", "/lost/a", "").status, kOk);
+  fleet.PublishRoutes(13, {"/next/"});
+  cr_assert(fleet.AwaitServed("g1", "/next/a"));
+  cr_assert_eq(fleet.Post("g1", "/lost/a", "").status, kNotFound);
+}
+
 }  // namespace banyanlane::processes
