Send evidence about crashes to gateways only, and forward it only where links are missing

Cause: found while reading the change. A gateway sent each report to rank agents as well, whose links are narrow, and forwarded each new report to all its links, so that messages grew with the square of the number of gateways although each already receives a report from its sender. Change: reports go over links to gateways, and are forwarded only while more gateways are live than are linked.

--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -36,7 +36,10 @@
     const auto membership = context.Resolve<membership::IMembership>();
     this->crashes = std::make_shared<CrashMonitor>(
         settings.Text("node", "id") + "/" + kernel::RandomId(), this->runtime,
-        context.Resolve<kernel::Metrics>());
+        context.Resolve<kernel::Metrics>(),
+        [peers = context.Resolve<peers::IPeers>()](kernel::TimePoint now) {
+          return peers->LiveGateways(now).size();
+        });
     context.Resolve<link::ILinkHub>()->Subscribe(this->crashes);
     this->service = std::make_shared<DirectService>(
         ReadSettings(settings), this->runtime,
--- a/src/direct/internal/crash_monitor.cc
+++ b/src/direct/internal/crash_monitor.cc
@@ -1,6 +1,7 @@
 #include "direct/internal/crash_monitor.h"
 
 #include "kernel/event_log.h"
+#include "peers/i_peers.h"
 
 namespace banyanlane::direct {
 namespace {
@@ -11,11 +12,13 @@
 
 }  // namespace
 
-CrashMonitor::CrashMonitor(std::string node,
-                           std::shared_ptr<http::IHttpRuntime> runtime,
-                           std::shared_ptr<kernel::Metrics> metrics)
+CrashMonitor::CrashMonitor(
+    std::string node, std::shared_ptr<http::IHttpRuntime> runtime,
+    std::shared_ptr<kernel::Metrics> metrics,
+    std::function<std::size_t(kernel::TimePoint)> count_gateways)
     : runtime(std::move(runtime)),
       metrics(std::move(metrics)),
+      count_gateways(std::move(count_gateways)),
       evidence(std::move(node), evidence::AttributionLimits{}) {}
 
 void CrashMonitor::OnConnectionLost(const EndpointChoice& endpoint,
@@ -67,6 +70,7 @@
 }
 
 void CrashMonitor::OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) {
+  if (link->peer().role != peers::kGatewayRole) return;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->links[link->id()] = link;
@@ -79,7 +83,8 @@
                              kernel::TimePoint now) {
   const auto* report = std::get_if<link::WorkReport>(&message);
   if (report == nullptr) return;
-  if (this->evidence.Merge(*report, now)) this->Send({*report}, link);
+  if (this->evidence.Merge(*report, now) && this->MustForward(now))
+    this->Send({*report}, link);
   this->LogChanges();
 }
 
@@ -89,6 +94,12 @@
   this->links.erase(link->id());
 }
 
+bool CrashMonitor::MustForward(kernel::TimePoint now) {
+  const std::size_t gateways = this->count_gateways(now);
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return gateways > this->links.size();
+}
+
 void CrashMonitor::Send(const std::vector<link::WorkReport>& reports,
                         const link::LinkPtr& except) {
   if (reports.empty()) return;
--- a/src/direct/internal/crash_monitor.h
+++ b/src/direct/internal/crash_monitor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -26,8 +27,12 @@
   using Keys = evidence::CrashAttribution::Keys;
 
   /// @param node name of this gateway's incarnation in reports.
+  /// @param count_gateways returns the number of other gateways that are live.
+  /// Reports are forwarded only while there are more of them than links, since
+  /// otherwise every gateway receives each report from its sender.
   CrashMonitor(std::string node, std::shared_ptr<http::IHttpRuntime> runtime,
-               std::shared_ptr<kernel::Metrics> metrics);
+               std::shared_ptr<kernel::Metrics> metrics,
+               std::function<std::size_t(kernel::TimePoint)> count_gateways);
 
   evidence::CrashAttribution& attribution() { return this->evidence; }
 
@@ -49,17 +54,19 @@
  private:
   void OnChecked(const EndpointChoice& endpoint, http::ConnectionCheck result,
                  kernel::TimePoint now);
+  bool MustForward(kernel::TimePoint now);
   void Send(const std::vector<link::WorkReport>& reports,
             const link::LinkPtr& except = nullptr);
   void LogChanges();
 
   std::shared_ptr<http::IHttpRuntime> runtime;
   std::shared_ptr<kernel::Metrics> metrics;
+  std::function<std::size_t(kernel::TimePoint)> count_gateways;
   evidence::CrashAttribution evidence;
   std::mutex mutex;  ///< Guards the members below.
   /// Keys of the attempts whose endpoint is being checked, by its id.
   std::map<std::string, std::vector<Keys>> pending;
-  std::map<std::uint64_t, link::LinkPtr> links;
+  std::map<std::uint64_t, link::LinkPtr> links;  ///< Links to gateways.
 };
 
 }  // namespace banyanlane::direct
