--- a/tests/processes/gateway_fleet.cc
+++ b/tests/processes/gateway_fleet.cc
@@ -91,12 +91,14 @@
   for (const char* suffix : {"-admin", "-link", "-ready", "-resolve"})
     this->AllocateAddress(name + suffix);
   this->WriteSettings(
-      name, "listen=" + this->Address(name + "-link") + "\nseeds=" +
-                this->links + "\n[platform]\nstore=" + this->Address("store") +
-                "\nready=" + this->Address(name + "-ready") +
-                "\nresolve=" + this->Address(name + "-resolve") +
-                "\npatience_ms=100\n[gateway]\nlisten=" + this->Address(name) +
-                "\naddress=" + this->Address(name) + "\nretry_slack=1000\n");
+      name,
+      "listen=" + this->Address(name + "-link") + "\nseeds=" + this->links +
+          "\n[platform]\nstore=" + this->Address("store") +
+          "\nready=" + this->Address(name + "-ready") +
+          "\nresolve=" + this->Address(name + "-resolve") +
+          "\npatience_ms=100\nwatch_ms=" + std::to_string(this->watch_ms) +
+          "\n[gateway]\nlisten=" + this->Address(name) +
+          "\naddress=" + this->Address(name) + "\nretry_slack=1000\n");
   this->links += this->Address(name + "-link") + ",";
   this->StartGateway(name);
 }
@@ -106,6 +108,17 @@
                      "--settings=" + this->SettingsPath(name)});
 }
 
+bool GatewayFleet::ListsServer(const std::string& gateway,
+                               const std::string& server,
+                               const std::string& state) {
+  const std::string page = this->AdminPage(gateway, "/status");
+  const std::size_t line = page.find(server + " service=");
+  const std::size_t end = page.find('\n', line);
+  return line != std::string::npos &&
+         page.substr(line, end - line).find("state=" + state) !=
+             std::string::npos;
+}
+
 bool GatewayFleet::AwaitServed(const std::string& gateway,
                                const std::string& path) {
   return Await([&] { return this->Post(gateway, path, "").status == kOk; });
--- a/tests/processes/gateway_fleet.h
+++ b/tests/processes/gateway_fleet.h
@@ -31,6 +31,11 @@
   /// @param state state of the server in its entry, such as "ready".
   void Register(const std::string& name, const std::string& state);
 
+  /// Sets the longest wait of the watches of gateways that are added later.
+  void SetWatchMillis(int millis) { this->watch_ms = millis; }
+  /// Returns whether a gateway lists `server` in `state`, such as "leaving".
+  bool ListsServer(const std::string& gateway, const std::string& server,
+                   const std::string& state);
   /// Starts a gateway that is linked to those added before.
   void AddGateway(const std::string& name);
   /// Starts the process of a gateway that AddGateway has set up.
@@ -55,6 +60,7 @@
                              const http::Headers& headers);
 
   std::string links;
+  int watch_ms = 3'000;
   int sent_requests = 0;
   int writes = 0;
   /// Number that stands for the start time of each server.
--- a/tests/processes/gateway_store_test.cc
+++ b/tests/processes/gateway_store_test.cc
@@ -9,6 +9,10 @@
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
+/// Longer than Fleet::Await waits, so that no test passes because a watch has
+/// ended by itself.
+constexpr int kLongWatchMillis = 60'000;
+constexpr int kRequests = 10;
 
 /// Starts two gateways and one server, with version 10 of the routes.
 void StartFleet(GatewayFleet& fleet) {
@@ -92,4 +96,49 @@
   cr_assert_eq(fleet.Post("g1", "/lost/a", "").status, kNotFound);
 }
 
+Test(gateway_store, leaves_a_server_although_all_watches_were_silenced) {
+  GatewayFleet fleet;
+  fleet.SetWatchMillis(kLongWatchMillis);
+  StartFleet(fleet);
+  fleet.AddServer("s2");
+  for (const char* gateway : {"g1", "g2"}) {
+    cr_assert(
+        Fleet::Await([&] { return fleet.ListsServer(gateway, "s2", "live"); }));
+  }
+  fleet.CommandStore("mode", "silent");
+  // Both watches end at these changes, and their responses are lost.
+  fleet.Register("s2", "ready");
+  fleet.PublishRoutes(12, {"/added/"});
+  fleet.CommandStore("mode", "ok");
+  fleet.Register("s1", "draining");
+  for (const char* gateway : {"g1", "g2"}) {
+    cr_assert(Fleet::Await(
+        [&] { return fleet.ListsServer(gateway, "s1", "leaving"); }));
+    cr_assert(fleet.AwaitServed(gateway, "/added/a"));
+  }
+  const int runs = fleet.RunCount("s1");
+  for (int i = 0; i < kRequests; ++i) {
+    for (const char* gateway : {"g1", "g2"})
+      cr_assert_eq(fleet.Post(gateway, "/plain/a", "").status, kOk);
+  }
+  cr_assert_eq(fleet.RunCount("s1"), runs);
+}
+
+Test(gateway_store, one_working_watch_informs_all_gateways) {
+  GatewayFleet fleet;
+  fleet.SetWatchMillis(kLongWatchMillis);
+  StartFleet(fleet);
+  fleet.CommandStore("mode", "silent");
+  fleet.Register("s1", "ready");
+  fleet.CommandStore("mode", "ok");
+  // This gateway has a working watch, unlike the others.
+  fleet.AddGateway("g3");
+  cr_assert(fleet.AwaitServed("g3", "/plain/a"));
+  fleet.Register("s1", "draining");
+  for (const char* gateway : {"g1", "g2", "g3"}) {
+    cr_assert(Fleet::Await(
+        [&] { return fleet.ListsServer(gateway, "s1", "leaving"); }));
+  }
+}
+
 }  // namespace banyanlane::processes
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -30,7 +30,9 @@
 /// writes the body as the value of K, or deletes K if the body is empty. PUT
 /// /control/copy makes a copy of the store, and PUT /control/restore replaces
 /// the store by the last copy, as after the loss of recent writes. PUT
-/// /control/mode works as in MakePlatform.
+/// /control/mode works as in MakePlatform; with the body "silent", calls whose
+/// responses fall due get none, now or later, and keep their connections.
+/// /control/calls returns the number of calls since the start.
 std::shared_ptr<http::IHttpHandler> MakeStore();
 
 /// Makes a server that gateways call directly. It streams five events for paths
--- a/tests/standins/store_standin.cc
+++ b/tests/standins/store_standin.cc
@@ -1,6 +1,7 @@
 #include <openssl/evp.h>
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -38,11 +39,16 @@
       exchange.Reply({200, {}, "ok\n"});
       return;
     }
+    if (path == "/control/calls") {
+      exchange.Reply({200, {}, std::to_string(this->calls)});
+      return;
+    }
+    ++this->calls;
     if (path == kWatchPath) {
       this->ServeWatch(exchange);
       return;
     }
-    exchange.Reply(this->Range(exchange.request()));
+    this->Deliver(exchange, this->Range(exchange.request()));
   }
 
  private:
@@ -59,9 +65,25 @@
     std::uint64_t revision = 1;
   };
 
+  /// Sends `response`. While the store is silent, keeps the connection open
+  /// without a response instead, also after the silence.
+  void Deliver(http::IHttpExchange& exchange,
+               const http::HttpResponse& response) {
+    if (this->silent) {
+      while (exchange.Wait(kernel::TimePoint::max()) !=
+             http::WakeReason::kCallerDisconnected) {
+      }
+      return;
+    }
+    exchange.Reply(response);
+  }
+
   void Control(const http::HttpRequest& request, const std::string& path) {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (path == "/control/mode") this->down = request.body == "down";
+    if (path == "/control/mode") {
+      this->down = request.body == "down";
+      this->silent = request.body == "silent";
+    }
     if (path == "/control/copy") this->copy = this->state;
     if (path == "/control/restore") {
       this->state = this->copy;
@@ -134,7 +156,7 @@
             {{"events", std::move(events)}, {"asOf", this->state.revision}});
       }
       if (!must_wait) {
-        exchange.Reply(response);
+        this->Deliver(exchange, response);
         return;
       }
       if (exchange.Wait(deadline) == http::WakeReason::kCallerDisconnected)
@@ -142,7 +164,9 @@
     }
   }
 
-  std::mutex mutex;
+  std::atomic<int> calls{0};  ///< Calls of gateways since the start.
+  std::atomic<bool> silent{false};
+  std::mutex mutex;  ///< Guards all members below.
   bool down = false;
   std::uint64_t era = 1;
   State state;
