Ask the store by turns when no gateway has heard from it

Callers saw: requests reached an endpoint 2.01 and 2.20 s after the store had confirmed that it leaves. Cause: a gateway learns of changes from a watch that waits up to 9.5 s for its response. A watch that lost its response looks like one without changes. All gateways begin their watches at the same change, so a store that falls silent and keeps its connections, or whose last responses are lost, leaves all of them waiting, and no peer is ahead. After its return the next change is known when the watches time out. Class: silence taken for calm. Change: heartbeats say how long ago the store last responded to the sender or to a gateway that it has heard of; it counts only with the versions of the same heartbeat. When no response is known for change_ms less one heartbeat, ContactMonitor lets one gateway, then two, four and so on, replace the watch by a check that the store answers at once. A watch after a failure begins with a check. Links have protocol 3. Evidence: gateway_store/leaves_a_server_although_all_watches_were_silenced failed on after 30 s and passes; contact_fleet/* (1 to 390 gateways, silences of 0.3 to 14 s, restarts, cuts, a store that answers a third) passes, and its first test failed with checks switched off.

--- a/src/catalog/catalog_module.cc
+++ b/src/catalog/catalog_module.cc
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <vector>
 
+#include "catalog/internal/contact_exchange.h"
 #include "catalog/internal/follower_driver.h"
 #include "http/i_http_runtime.h"
 #include "kernel/event_log.h"
@@ -15,6 +16,7 @@
 namespace {
 
 using kernel::Role;
+using kernel::SettingKind;
 
 /// Interval of the checks whether a pause of a driver has ended.
 constexpr kernel::Millis kTickPeriod{50};
@@ -61,7 +63,20 @@
 /// to the stores of this process.
 class CatalogModule : public kernel::IModule {
  public:
-  void Export(kernel::ModuleContext& /*context*/) override {}
+  void Export(kernel::ModuleContext& context) override {
+    const kernel::Settings& settings = context.settings();
+    ContactLimits limits;
+    limits.takeover_delay =
+        kernel::Millis(settings.Integer("link", "heartbeat_ms"));
+    // Leaves the peers one heartbeat to learn of a change.
+    limits.max_age =
+        std::max(limits.takeover_delay,
+                 kernel::Millis(settings.Integer("platform", "change_ms")) -
+                     limits.takeover_delay);
+    this->contacts =
+        std::make_shared<ContactExchange>(settings.Text("node", "id"), limits);
+    context.Export<IStoreContact>(this->contacts);
+  }
 
   void Resolve(kernel::ModuleContext& context) override {
     const auto catalog = context.Resolve<ICatalog>();
@@ -76,7 +91,9 @@
     this->endpoint_driver = std::make_shared<FollowerDriver>(
         catalog, this->reader->EndpointPrefix(),
         CatalogFollower(limits, seed + 1),
-        [this](const CatalogSnapshot& items) { this->OfferEndpoints(items); });
+        [this](const CatalogSnapshot& items) { this->OfferEndpoints(items); },
+        this->ContactOf(this->contacts->endpoints_contact(),
+                        this->reader->EndpointPrefix()));
     limits.rewrite_grace = kConfigRewriteGrace;
     const auto is_newer = [reader = this->reader](const CatalogItem& offered,
                                                   const CatalogItem& known) {
@@ -85,10 +102,14 @@
     this->config_driver = std::make_shared<FollowerDriver>(
         catalog, this->reader->ConfigPrefix(),
         CatalogFollower(limits, seed, is_newer),
-        [this](const CatalogSnapshot& items) { this->OfferConfig(items); });
-    context.Resolve<link::ILinkHub>()->Subscribe(
-        std::make_shared<WatchRestarter>(
-            std::vector{this->config_driver, this->endpoint_driver}));
+        [this](const CatalogSnapshot& items) { this->OfferConfig(items); },
+        this->ContactOf(this->contacts->config_contact(),
+                        this->reader->ConfigPrefix()));
+    const auto hub = context.Resolve<link::ILinkHub>();
+    hub->Subscribe(std::make_shared<WatchRestarter>(
+        std::vector{this->config_driver, this->endpoint_driver}));
+    this->contacts->SetStores(this->config, this->membership);
+    hub->Subscribe(this->contacts);
     this->RestartWatchWhenPeersAreAhead();
   }
 
@@ -104,6 +125,12 @@
   }
 
  private:
+  SharedContact ContactOf(ContactMonitor& monitor, std::string prefix) {
+    return {&monitor, [contacts = this->contacts, prefix = std::move(prefix)] {
+              return contacts->Rank(prefix);
+            }};
+  }
+
   /// Restarts a watch when a peer has sent a newer state than the watch, since
   /// the connection of the watch may be broken.
   void RestartWatchWhenPeersAreAhead() {
@@ -167,6 +194,7 @@
   std::shared_ptr<config::IConfigStore> config;
   std::shared_ptr<membership::IMembership> membership;
   std::shared_ptr<http::IHttpRuntime> runtime;
+  std::shared_ptr<ContactExchange> contacts;
   std::shared_ptr<FollowerDriver> config_driver;
   std::shared_ptr<FollowerDriver> endpoint_driver;
   std::mutex mutex;  ///< Guards `offered_config`.
@@ -234,9 +262,14 @@
      }});
 
 const kernel::ModuleRegistration kRegistration(
-    {"catalog", {Role::kGateway}, kernel::StartOrder::kService, {}, [] {
-       return std::make_unique<CatalogModule>();
-     }});
+    {"catalog",
+     {Role::kGateway},
+     kernel::StartOrder::kService,
+     {{"platform", "change_ms", SettingKind::kInteger, "2000", false, 100,
+       60'000,
+       "Milliseconds in which all gateways must know a change in the store, "
+       "such as an endpoint that leaves."}},
+     [] { return std::make_unique<CatalogModule>(); }});
 
 }  // namespace
 }  // namespace banyanlane::catalog
--- a/src/catalog/internal/catalog_follower.cc
+++ b/src/catalog/internal/catalog_follower.cc
@@ -32,7 +32,7 @@
   if (this->failures > 0 && now < this->retry_at)
     return PauseStep{this->retry_at};
   if (this->stage == Stage::kLoading) return ReadPageStep{this->after_key};
-  return WatchStep{this->watch_revision};
+  return WatchStep{this->watch_revision, this->must_check};
 }
 
 bool CatalogFollower::OnResponse(const CatalogResponse& response,
@@ -236,6 +236,7 @@
 void CatalogFollower::OnFailure(kernel::TimePoint now) {
   const int doublings = std::min(this->failures, kMaxDoublings);
   ++this->failures;
+  this->must_check = true;
   const auto pause = std::min(this->limits.max_pause,
                               this->limits.min_pause * (1 << doublings));
   std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2,
@@ -248,6 +249,7 @@
                           now - *this->last_success > this->limits.min_outage;
   if (had_outage) this->grace_until = now + this->limits.removal_grace;
   this->failures = 0;
+  this->must_check = false;
   this->last_success = now;
 }
 
--- a/src/catalog/internal/catalog_follower.h
+++ b/src/catalog/internal/catalog_follower.h
@@ -16,9 +16,12 @@
 struct ReadPageStep {
   std::string after_key;
 };
-/// Step that waits for changes after `after_revision`.
+/// Step that asks for changes after `after_revision`.
 struct WatchStep {
   std::uint64_t after_revision = 0;
+  /// Whether the store responds at once instead of waiting for a change, so
+  /// that a missing response is noticed soon.
+  bool is_check = false;
 };
 /// Step that does nothing until `until`.
 struct PauseStep {
@@ -63,6 +66,9 @@
   /// Returns the next step to execute.
   FollowStep NextStep(kernel::TimePoint now) const;
 
+  /// Lets the next watch be a check, as it is after a failure.
+  void RequestCheck() { this->must_check = true; }
+
   /// Processes the response to the step that NextStep returned.
   /// @return whether the items changed.
   bool OnResponse(const CatalogResponse& response, kernel::TimePoint now);
@@ -149,6 +155,7 @@
   /// last increased.
   std::uint64_t late_changes = 0;
   bool loaded = false;
+  bool must_check = false;     ///< Whether the next watch is a check.
   int failures = 0;            ///< Failed calls since the last success.
   kernel::TimePoint retry_at;  ///< End of the pause after a failure.
   std::optional<kernel::TimePoint> last_success;
--- a/src/catalog/internal/follower_driver.cc
+++ b/src/catalog/internal/follower_driver.cc
@@ -14,10 +14,13 @@
 
 FollowerDriver::FollowerDriver(std::shared_ptr<ICatalog> catalog,
                                std::string prefix, CatalogFollower follower,
-                               ChangeHandler on_changed)
+                               ChangeHandler on_changed, SharedContact contact,
+                               ClockFunction clock)
     : catalog(std::move(catalog)),
       prefix(std::move(prefix)),
       on_changed(std::move(on_changed)),
+      contact(std::move(contact)),
+      clock(std::move(clock)),
       follower(std::move(follower)) {}
 
 void FollowerDriver::OnTick(kernel::TimePoint now) {
@@ -26,10 +29,19 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (this->follower.EndGracePeriods(now)) update = this->follower.Snapshot();
     if (!this->call_in_progress && !this->stopped) this->Begin(now);
+    this->CheckIfDue(now);
   }
   if (update) this->on_changed(*update);
 }
 
+void FollowerDriver::CheckIfDue(kernel::TimePoint now) {
+  if (!this->watching || !this->contact.monitor->IsOverdue(now)) return;
+  if (!this->contact.monitor->IsDue(this->contact.rank(), now)) return;
+  this->follower.RequestCheck();
+  this->call->Cancel();
+  this->Begin(now);
+}
+
 void FollowerDriver::RestartWatch(kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   if (!this->watching || now - this->restarted_at < kMinRestartInterval) return;
@@ -48,22 +60,23 @@
 void FollowerDriver::Begin(kernel::TimePoint now) {
   const FollowStep step = this->follower.NextStep(now);
   const CatalogLimits& limits = this->follower.Limits();
-  this->watching = std::holds_alternative<WatchStep>(step);
+  const auto* watch = std::get_if<WatchStep>(&step);
+  this->watching = watch != nullptr && !watch->is_check;
   this->call_in_progress = !std::holds_alternative<PauseStep>(step);
   const std::uint64_t number = ++this->call_number;
   const auto receive = [weak = this->weak_from_this(),
                         number](const CatalogResponse& response) {
     const auto self = weak.lock();
-    if (self) self->OnResponse(number, response, kernel::Clock::now());
+    if (self) self->OnResponse(number, response, self->clock());
   };
   if (const auto* page = std::get_if<ReadPageStep>(&step)) {
     this->call = this->catalog->ReadPage(this->prefix, page->after_key,
                                          limits.response_timeout, receive);
   }
-  if (const auto* watch = std::get_if<WatchStep>(&step)) {
-    this->call = this->catalog->Watch(
-        this->prefix, watch->after_revision, limits.watch_wait,
-        limits.watch_wait + limits.response_timeout, receive);
+  if (watch != nullptr) {
+    const auto wait = watch->is_check ? kernel::Millis{0} : limits.watch_wait;
+    this->call = this->catalog->Watch(this->prefix, watch->after_revision, wait,
+                                      wait + limits.response_timeout, receive);
   }
 }
 
@@ -71,6 +84,7 @@
                                 const CatalogResponse& response,
                                 kernel::TimePoint now) {
   std::optional<CatalogSnapshot> update;
+  bool has_responded = false;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (number != this->call_number || this->stopped) return;
@@ -81,9 +95,13 @@
     this->LogRestore(previous_era);
     if (changed_items && this->follower.IsLoaded())
       update = this->follower.Snapshot();
+    has_responded = !this->follower.IsFailing();
     this->Begin(now);
   }
   if (update) this->on_changed(*update);
+  // Only now, so that peers are told of the response after its changes are in
+  // force.
+  if (has_responded) this->contact.monitor->OnResponse(now);
 }
 
 void FollowerDriver::LogReachability(bool was_failing,
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -11,7 +11,7 @@
 
 /// Version of the messages in this file. Peers with another version are
 /// refused.
-inline constexpr std::uint64_t kProtocolVersion = 2;
+inline constexpr std::uint64_t kProtocolVersion = 3;
 
 /// Outcome of one attempt at a request.
 enum class Outcome : std::uint64_t {
@@ -85,6 +85,12 @@
   std::uint64_t era = 0;
   bool confirmed = false;
   std::uint64_t list_version = 0;
+  /// Gateways only: milliseconds, at least 1, since the store last responded to
+  /// the sender, or to a process that the sender has heard of, with changes of
+  /// the configuration or without any. 0 if unknown.
+  std::uint64_t config_contact_ms = 0;
+  /// Like `config_contact_ms`, for the instance list.
+  std::uint64_t list_contact_ms = 0;
   /// This and the following fields are set only by agents. Milliseconds since
   /// the agent started.
   std::uint64_t clock_ms = 0;
@@ -97,8 +103,9 @@
   template <typename Visitor>
   void Visit(Visitor& visit) {
     visit(this->revision, this->era, this->confirmed, this->list_version,
-          this->clock_ms, this->leaving, this->endpoint_up, this->running,
-          this->queued, this->slots);
+          this->config_contact_ms, this->list_contact_ms, this->clock_ms,
+          this->leaving, this->endpoint_up, this->running, this->queued,
+          this->slots);
   }
 };
 
--- a/src/peers/peers_module.cc
+++ b/src/peers/peers_module.cc
@@ -1,6 +1,9 @@
+#include <algorithm>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 
+#include "catalog/i_store_contact.h"
 #include "config/i_config.h"
 #include "kernel/hash.h"
 #include "kernel/module_registry.h"
@@ -43,6 +46,7 @@
   void Resolve(kernel::ModuleContext& context) override {
     this->store = context.Resolve<config::IConfigStore>();
     this->membership = context.Resolve<membership::IMembership>();
+    this->contact = context.Find<catalog::IStoreContact>();
     this->hub->SetStateProviders([this] { return this->LocalHello(); },
                                  [this] { return this->LocalHeartbeat(); });
     this->hub->Subscribe(this->gossip);
@@ -86,16 +90,31 @@
 
   link::Heartbeat LocalHeartbeat() const {
     link::Heartbeat heartbeat;
+    // Before the versions, so that these include what the responses brought.
+    if (this->contact) {
+      const auto now = kernel::Clock::now();
+      heartbeat.config_contact_ms =
+          ContactMillis(this->contact->ConfigAge(now));
+      heartbeat.list_contact_ms =
+          ContactMillis(this->contact->EndpointsAge(now));
+    }
     this->SetConfigVersion(heartbeat);
     heartbeat.list_version = this->ListVersion();
     return heartbeat;
   }
 
+  /// Returns the number of a heartbeat for the age of a response.
+  static std::uint64_t ContactMillis(std::optional<kernel::Millis> age) {
+    if (!age) return 0;
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(1, age->count()));
+  }
+
   std::string role;
   link::Hello hello;
   std::string address;
   std::shared_ptr<link::ILinkHub> hub;
   std::shared_ptr<PeerGossip> gossip;
+  std::shared_ptr<catalog::IStoreContact> contact;  ///< Null at rank agents.
   std::shared_ptr<config::IConfigStore> store;
   std::shared_ptr<membership::IMembership> membership;
 };
