End a response at its deadline although its data never pauses

Cause: the timer of a Beast stream ends a read that waits. A read that always finds data does not wait, so a response that is sent without a pause went on past its total time. The test passed before where the sender was slower than the reader. Change: HttpCall compares the time with the deadline after each read.

--- a/src/http/internal/http_call.cc
+++ b/src/http/internal/http_call.cc
@@ -193,6 +193,10 @@
     const std::size_t count = block.size() - parser.get().body().size;
     if (count > 0)
       this->observer->OnData(std::string_view(block.data(), count));
+    // The stream's timer does not end reads that never have to wait for data.
+    const bool is_late = kernel::Clock::now() >= this->deadline;
+    if (!failure && is_late && !parser.is_done())
+      failure = beast::error::timeout;
     if (failure) {
       this->Fail("read_body", failure, SendState::kMaybeSent);
       return;
