Offer a change on any page of a reload

Cause: a change on a page that is not the last was offered at once, but under the old version, so the instance list was refused as not newer; the last page offered nothing if it changed nothing. The change was unknown until the next one. Change: CatalogFollower reports the changes of all pages with the last one, which increases the version.

--- a/src/catalog/internal/catalog_follower.cc
+++ b/src/catalog/internal/catalog_follower.cc
@@ -91,15 +91,17 @@
 bool CatalogFollower::ApplyPage(const CatalogPage& page,
                                 kernel::TimePoint now) {
   if (this->load_revision == 0) this->load_revision = page.revision;
-  bool changed = false;
   for (const CatalogItem& item : page.items) {
     this->listed_revisions[item.key] = item.revision;
     this->after_key = std::max(this->after_key, item.key);
-    changed |= this->ApplyItem(item, Source::kPage);
+    this->load_changed |= this->ApplyItem(item, Source::kPage);
   }
-  if (page.more && !page.items.empty()) return changed;
-  changed |= this->RemoveUnlisted(now);
-  changed |= !this->loaded;
+  // The version increases with the last page, and a state is only adopted with
+  // a higher version.
+  if (page.more && !page.items.empty()) return false;
+  const bool has_removed = this->RemoveUnlisted(now);
+  const bool changed = this->load_changed || has_removed || !this->loaded;
+  this->load_changed = false;
   this->AdvanceContentRevision(this->load_revision);
   this->watch_revision = std::max(this->watch_revision, this->load_revision);
   this->load_revision = 0;
--- a/src/catalog/internal/catalog_follower.h
+++ b/src/catalog/internal/catalog_follower.h
@@ -148,6 +148,8 @@
   std::string after_key;
   /// Revision of the first page of the current load, or 0 before that page.
   std::uint64_t load_revision = 0;
+  /// Whether pages since the last complete load have changed items.
+  bool load_changed = false;
   std::uint64_t watch_revision = 0;  ///< Start revision of the next watch.
   /// Latest store revision that `stored_items` includes.
   std::uint64_t content_revision = 0;
--- a/src/catalog/tests/catalog_follower_test.cc
+++ b/src/catalog/tests/catalog_follower_test.cc
@@ -128,4 +128,29 @@
   cr_assert_eq(TextOf(follower), "b=1 ");
 }
 
+Test(catalog_follower, offers_a_change_on_any_page_of_a_reload) {
+  CatalogFollower follower = Loaded();
+  const auto version = follower.Snapshot().version;
+  follower.OnResponse(HistoryUnavailable{}, kStart);
+  cr_assert_not(
+      follower.OnResponse(PageOf(30, {Item("a", "2", 29)}, true), kStart),
+      "the version increases only with the last page");
+  cr_assert_eq(follower.Snapshot().version, version);
+  cr_assert(follower.OnResponse(PageOf(31, {Item("b", "1", 4)}), kStart));
+  cr_assert_eq(TextOf(follower), "a=2 b=1 ");
+  cr_assert_gt(follower.Snapshot().version, version);
+}
+
+Test(catalog_follower, offers_a_change_of_a_reload_that_fails_after_a_page) {
+  CatalogFollower follower = Loaded();
+  const auto version = follower.Snapshot().version;
+  follower.OnResponse(HistoryUnavailable{}, kStart);
+  follower.OnResponse(PageOf(30, {Item("a", "2", 29)}, true), kStart);
+  follower.OnResponse(HistoryUnavailable{}, kStart);
+  cr_assert_not(
+      follower.OnResponse(PageOf(32, {Item("a", "2", 29)}, true), kStart));
+  cr_assert(follower.OnResponse(PageOf(32, {Item("b", "1", 4)}), kStart));
+  cr_assert_gt(follower.Snapshot().version, version);
+}
+
 }  // namespace banyanlane::catalog
