--- a/tests/processes/gateway_fleet.cc
+++ b/tests/processes/gateway_fleet.cc
@@ -108,6 +108,12 @@
                      "--settings=" + this->SettingsPath(name)});
 }
 
+void GatewayFleet::NameLimit(const std::string& server,
+                             const std::string& per_second) {
+  http::Fetch(this->Address(server),
+              {"PUT", "/control/limit", {}, per_second, ""}, kControlTimeout);
+}
+
 bool GatewayFleet::ListsServer(const std::string& gateway,
                                const std::string& server,
                                const std::string& state) {
--- a/tests/processes/gateway_fleet.h
+++ b/tests/processes/gateway_fleet.h
@@ -36,6 +36,9 @@
   /// Returns whether a gateway lists `server` in `state`, such as "leaving".
   bool ListsServer(const std::string& gateway, const std::string& server,
                    const std::string& state);
+  /// Lets a server name a limit in its responses.
+  /// @param per_second requests a second, or "" to end the limit.
+  void NameLimit(const std::string& server, const std::string& per_second);
   /// Starts a gateway that is linked to those added before.
   void AddGateway(const std::string& name);
   /// Starts the process of a gateway that AddGateway has set up.
--- a/tests/standins/server_standin.cc
+++ b/tests/standins/server_standin.cc
@@ -13,6 +13,7 @@
 
 constexpr const char* kIdField = "x-request-id";
 constexpr const char* kStampField = "x-server-stamp";
+constexpr const char* kLimitField = "server-limit";
 constexpr const char* kPartsField = "x-prefix-hash";
 constexpr int kMisdirected = 421;
 constexpr int kEvents = 5;
@@ -32,6 +33,11 @@
       exchange.Reply({200, {}, this->ExecutionsText()});
       return;
     }
+    if (request.Path() == "/control/limit") {
+      this->SetLimit(request.body);
+      exchange.Reply({200, {}, "ok\n"});
+      return;
+    }
     const std::string expected =
         http::HeaderOf(request.headers, "x-expect-instance");
     if (!expected.empty() && expected != this->id) {
@@ -49,9 +55,11 @@
     const std::string parts = http::HeaderOf(request.headers, kPartsField);
     const bool crashes = parts.find("dead") != std::string::npos ||
                          request.body.find("CRASH") != std::string::npos;
-    const http::Headers headers = {
+    http::Headers headers = {
         {kIdField, http::HeaderOf(request.headers, kIdField)},
         {kStampField, this->id}};
+    const std::string limit = this->Limit();
+    if (!limit.empty()) headers.emplace_back(kLimitField, limit);
     if (crashes) {
       exchange.BeginStream(200, headers);
       exchange.Wait(kernel::Clock::now() + kCrashDelay);
@@ -73,6 +81,15 @@
     exchange.EndStream();
   }
 
+  void SetLimit(const std::string& text) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->limit = text;
+  }
+  std::string Limit() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->limit;
+  }
+
   void Count(const http::HttpRequest& request) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     ++this->executions[http::HeaderOf(request.headers, kIdField)];
@@ -84,7 +101,9 @@
   }
 
   const std::string id;
-  std::mutex mutex;
+  std::mutex mutex;  ///< Guards all members below.
+  /// Requests a second that each response names as the limit, or "".
+  std::string limit;
   std::map<std::string, int> executions;
 };
 
