--- /dev/null
+++ b/src/direct/internal/direct_flow_response.cc
@@ -0,0 +1,176 @@
+#include "direct/internal/direct_flow.h"
+
+namespace banyanlane::direct {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kFirstServerErrorStatus = 500;
+constexpr int kUnavailable = 503;
+
+bool IsSuccess(int status) { return status >= kOk && status < 300; }
+
+/// Returns whether callers take `status` as a promise that the request has not
+/// run.
+bool ImpliesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 ||
+         status == kUnavailable;
+}
+
+}  // namespace
+
+DirectActions DirectFlow::OnHead(std::uint64_t number,
+                                 ResponseHead response_head,
+                                 kernel::TimePoint now) {
+  if (!this->IsCurrent(number)) return {};
+  this->head = std::move(response_head);
+  this->state = State::kResponding;
+  const bool is_foreign = !this->head.request_id.empty() &&
+                          this->head.request_id != this->request.request_id;
+  if (is_foreign) {
+    this->CancelAttempt(AttemptResult::kBroken);
+    this->OnResponseLost(AttemptResult::kBroken, now);
+    return this->TakeActions();
+  }
+  if (this->head.not_run || this->head.wrong_endpoint) {
+    this->CancelAttempt(this->head.wrong_endpoint ? AttemptResult::kReplaced
+                                                  : AttemptResult::kFull);
+    this->OnRefused(now);
+    return this->TakeActions();
+  }
+  const bool is_unusable = IsSuccess(this->head.status) &&
+                           (!this->head.is_signed || this->head.is_encoded);
+  if (is_unusable) {
+    this->CancelAttempt(AttemptResult::kBroken);
+    this->OnResponseLost(AttemptResult::kBroken, now);
+  }
+  return this->TakeActions();
+}
+
+DirectActions DirectFlow::OnData(std::uint64_t number, std::string_view data,
+                                 kernel::TimePoint now) {
+  if (!this->IsCurrent(number)) return {};
+  const bool is_stream =
+      this->request.profile->streaming && IsSuccess(this->head.status);
+  if (is_stream) {
+    this->ProcessEvents(data, now);
+    return this->TakeActions();
+  }
+  this->body += data;
+  if (this->body.size() > this->context.limits.max_response_bytes) {
+    this->CancelAttempt(AttemptResult::kBroken);
+    this->OnResponseLost(AttemptResult::kBroken, now);
+  }
+  return this->TakeActions();
+}
+
+void DirectFlow::ProcessEvents(std::string_view data, kernel::TimePoint now) {
+  std::string text;
+  bool continues = true;
+  const std::vector<StreamEvent> events = this->splitter.Feed(data);
+  for (const StreamEvent& event : events)
+    continues = continues && this->AppendEvent(event, text);
+  if (!events.empty()) this->OnProgress(now);
+  if (!text.empty()) {
+    if (!this->head_sent) {
+      this->head_sent = true;
+      this->actions.push_back(
+          SendStreamHead{this->head.status, this->head.headers});
+    }
+    this->actions.push_back(SendEvents{std::move(text)});
+  }
+  const bool is_endless =
+      this->splitter.PartialEventBytes() > this->context.limits.max_event_bytes;
+  if (continues && !is_endless) return;
+  this->CancelAttempt(AttemptResult::kBroken);
+  this->OnResponseLost(AttemptResult::kBroken, now);
+}
+
+void DirectFlow::OnProgress(kernel::TimePoint now) {
+  this->context.pool.OnProgress(*this->endpoint, now);
+  if (!this->attempt_has_events) {
+    this->attempt_has_events = true;
+    this->first_event_at = now;
+    this->actions.push_back(ReportBegun{});
+    this->context.pool.OnFirstEvent(*this->endpoint,
+                                    std::chrono::duration_cast<kernel::Millis>(
+                                        now - this->attempt_began_at));
+  }
+  if (now - this->first_event_at >= this->context.limits.survival_time)
+    this->ReportEndpointSurvived();
+  if (this->attempt_deadline != this->deadline)
+    this->attempt_deadline = now + this->context.limits.stream_stall_timeout;
+}
+
+bool DirectFlow::AppendEvent(const StreamEvent& event, std::string& text) {
+  if (event.id) {
+    const bool repeated =
+        this->last_delivered_id && *event.id <= *this->last_delivered_id;
+    if (repeated) return true;
+    const bool gap =
+        this->last_delivered_id && *event.id != *this->last_delivered_id + 1;
+    if (gap) return false;
+    this->last_delivered_id = event.id;
+  }
+  text += event.text;
+  return true;
+}
+
+DirectActions DirectFlow::OnEnd(std::uint64_t number, kernel::TimePoint now) {
+  if (!this->IsCurrent(number)) return {};
+  const bool is_stream =
+      this->request.profile->streaming && IsSuccess(this->head.status);
+  if (is_stream) {
+    this->OnStreamEnd(now);
+  } else {
+    this->OnCompleteResponse(now);
+  }
+  return this->TakeActions();
+}
+
+void DirectFlow::OnStreamEnd(kernel::TimePoint now) {
+  const bool is_empty_stream =
+      !this->head_sent && !this->request.last_event_id.has_value();
+  if (this->splitter.HasPartialEvent() || is_empty_stream) {
+    this->ReportConnectionLost();
+    this->Release(AttemptResult::kBroken);
+    this->OnResponseLost(AttemptResult::kBroken, now);
+    return;
+  }
+  this->ReportEndpointSurvived();
+  this->Release(AttemptResult::kCompleted);
+  if (!this->head_sent)
+    this->actions.push_back(
+        SendStreamHead{this->head.status, this->head.headers});
+  this->actions.push_back(SendStreamEnd{});
+  this->Finish("completed");
+}
+
+void DirectFlow::OnCompleteResponse(kernel::TimePoint now) {
+  const int status = this->head.status;
+  // An endpoint can respond with a failure without having run the work.
+  if (IsSuccess(status)) this->ReportEndpointSurvived();
+  const bool failed = status >= kFirstServerErrorStatus;
+  if (failed && this->request.IsRepeatable() && this->TryAcquireRetry(now)) {
+    this->Release(AttemptResult::kFailed);
+    this->may_have_run = true;
+    this->SendOrWait(now);
+    return;
+  }
+  this->Release(failed ? AttemptResult::kFailed : AttemptResult::kCompleted);
+  // Callers take these statuses as a promise that the request has not run,
+  // which the endpoint did not give. And once the caller has received a part of
+  // a stream, no complete response can follow.
+  if (this->head_sent || ImpliesNotRun(status)) {
+    this->may_have_run = true;
+    this->FailRequest("endpoint_failed", this->context.limits.retry_after);
+    return;
+  }
+  http::HttpResponse response;
+  response.status = status;
+  response.headers = this->head.headers;
+  response.body = std::move(this->body);
+  this->actions.push_back(SendResponse{std::move(response)});
+  this->Finish("completed");
+}
+
+}  // namespace banyanlane::direct
