Keep the limits that endpoints name, over all gateways together

Callers saw: nothing; endpoints in need got up to 2.5 times the requests that they had named, which the users' new rule forbids. Cause: gateways did not read the limit. Class: a new promise of the platform without a reader; and one that no gateway can keep alone, since a share and a burst for each of n gateways is more than the limit for all. Change: HeaderProtocol reads the limit. SharedRateLimits keeps it: gateways elect a coordinator over the links that they have (CoordinatorElection), which hands out permits at the rate of the limit to those that have requests; gateways without a link to it ask by way of others. A permit lasts a second, so unused ones do not add up. The two sides of a partition divide the limit by the gateways that they reach. An answer without the limit, to a request that was sent later, ends it for all. EndpointPool chooses a limited endpoint only with a permit, so that others take the rest; queued requests continue when permits arrive. Why this works: whatever the number of gateways, some 4 s hold at most the permits of 5 s and a burst of one or 0.2 s of the limit.

--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -46,8 +46,13 @@
         context.Resolve<const ICallerProtocol>(),
         context.Resolve<peers::IPeers>(), membership,
         context.Resolve<kernel::Metrics>(), this->crashes,
+        context.Resolve<limits::IRateLimits>(),
         kernel::Hash64(kernel::RandomId()), kernel::Clock::now());
     context.Export<IGateway>(this->service);
+    context.Resolve<limits::IRateLimits>()->Subscribe(
+        [service = this->service](kernel::TimePoint now) {
+          service->SendAllQueued(now);
+        });
     this->store->Subscribe(
         [this](const config::ConfigPtr& config) { this->OnConfig(config); });
     membership->Subscribe([this](const membership::InstanceListPtr& list) {
--- a/src/direct/i_caller_protocol.h
+++ b/src/direct/i_caller_protocol.h
@@ -47,6 +47,9 @@
   bool is_signed = false;
   /// The body is encoded and not in the requested form.
   bool is_encoded = false;
+  /// Number of requests a second that the endpoint takes from all gateways
+  /// together, if it has named one.
+  std::optional<double> max_requests_per_second;
   /// Id of the request that this response belongs to, or "".
   std::string request_id;
   http::Headers headers;  ///< Header fields to forward to the caller.
--- a/src/direct/internal/direct_actions.h
+++ b/src/direct/internal/direct_actions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -43,6 +44,14 @@
 /// Reports that the endpoint survived an attempt at the request.
 struct ReportSurvival {};
 
+/// Reports the rate limit that an endpoint's response names, or that it names
+/// none.
+struct ReportRateLimit {
+  std::string endpoint;
+  std::optional<double> per_second;
+  kernel::TimePoint sent_at;  ///< When the request was sent.
+};
+
 /// Sends an endpoint's complete response to the caller.
 struct SendResponse {
   http::HttpResponse response;
@@ -80,8 +89,8 @@
 using DirectAction =
     std::variant<CallEndpoint, CancelCall, ReleaseEndpoint,
                  ReportLostConnection, ReportBegun, ReportSurvival,
-                 SendResponse, SendStreamHead, SendEvents, SendStreamEnd,
-                 AbortResponse, SendRefusal, WriteLogEvent>;
+                 ReportRateLimit, SendResponse, SendStreamHead, SendEvents,
+                 SendStreamEnd, AbortResponse, SendRefusal, WriteLogEvent>;
 using DirectActions = std::vector<DirectAction>;
 
 }  // namespace banyanlane::direct
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -126,6 +126,8 @@
   kernel::TimePoint DispatchBy() const;
   void LeaveQueue(kernel::TimePoint now);
 
+  /// Reports the rate limit that the response head names.
+  void ReportLimit();
   void ProcessEvents(std::string_view data, kernel::TimePoint now);
   /// Records that complete events have arrived. Parts of events do not count,
   /// since an endpoint in trouble may send bytes that never complete one.
--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -31,6 +31,7 @@
     this->OnResponseLost(AttemptResult::kBroken, now);
     return this->TakeActions();
   }
+  this->ReportLimit();
   if (this->head.not_run || this->head.wrong_endpoint) {
     this->CancelAttempt(this->head.wrong_endpoint ? AttemptResult::kReplaced
                                                   : AttemptResult::kFull);
@@ -46,6 +47,16 @@
   return this->TakeActions();
 }
 
+void DirectFlow::ReportLimit() {
+  const auto limit = this->head.max_requests_per_second;
+  // A refusal without a signature may come from another server, so that it does
+  // not end a limit.
+  const bool shows_limit = limit || this->head.is_signed;
+  if (this->head.wrong_endpoint || !shows_limit) return;
+  this->actions.push_back(
+      ReportRateLimit{this->endpoint->id, limit, this->attempt_began_at});
+}
+
 DirectActions DirectFlow::OnData(std::uint64_t number, std::string_view data,
                                  kernel::TimePoint now) {
   if (!this->IsCurrent(number)) return {};
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -76,7 +76,8 @@
         std::holds_alternative<ReleaseEndpoint>(action) ||
         std::holds_alternative<ReportLostConnection>(action) ||
         std::holds_alternative<ReportBegun>(action) ||
-        std::holds_alternative<ReportSurvival>(action);
+        std::holds_alternative<ReportSurvival>(action) ||
+        std::holds_alternative<ReportRateLimit>(action);
     if (is_for_endpoint) {
       this->endpoint_actions.push_back(std::move(action));
       continue;
@@ -163,6 +164,11 @@
                                         kernel::Clock::now());
 }
 
+void DirectRunner::RunAction(const ReportRateLimit& action) {
+  this->environment.rate_limits->OnResponse(
+      action.endpoint, action.per_second, action.sent_at, kernel::Clock::now());
+}
+
 DirectActions DirectRunner::TakeCallerActions() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   DirectActions taken;
--- a/src/direct/internal/direct_runner.h
+++ b/src/direct/internal/direct_runner.h
@@ -26,6 +26,7 @@
     std::function<void(const std::string& service)> on_capacity;
     std::shared_ptr<kernel::Metrics> metrics;
     std::shared_ptr<CrashMonitor> crashes;
+    std::shared_ptr<limits::IRateLimits> rate_limits;
   };
 
   DirectRunner(Environment environment, std::unique_ptr<DirectFlow> flow,
@@ -70,6 +71,7 @@
   void RunAction(const ReportLostConnection& action);
   void RunAction(const ReportBegun& action);
   void RunAction(const ReportSurvival& action);
+  void RunAction(const ReportRateLimit& action);
   template <typename CallerAction>
   void RunAction(const CallerAction& /*action*/) {}
 
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -64,7 +64,8 @@
     std::shared_ptr<peers::IPeers> peers,
     std::shared_ptr<membership::IMembership> membership,
     std::shared_ptr<kernel::Metrics> metrics,
-    std::shared_ptr<CrashMonitor> crashes, std::uint64_t seed,
+    std::shared_ptr<CrashMonitor> crashes,
+    std::shared_ptr<limits::IRateLimits> rate_limits, std::uint64_t seed,
     kernel::TimePoint now)
     : settings(std::move(settings)),
       runtime(std::move(runtime)),
@@ -73,6 +74,7 @@
       membership(std::move(membership)),
       metrics(std::move(metrics)),
       crashes(std::move(crashes)),
+      rate_limits(std::move(rate_limits)),
       pool(
           this->settings.failure_domain, PoolLimitsOf(this->settings), seed,
           [this](const std::string& endpoint) {
@@ -80,7 +82,8 @@
           },
           [this](const std::string& address) {
             return this->peers->SlowdownOf(address);
-          }),
+          },
+          this->rate_limits.get()),
       retries(this->settings.retries, now),
       last_number(seed) {}
 
@@ -246,6 +249,7 @@
   };
   environment.metrics = this->metrics;
   environment.crashes = this->crashes;
+  environment.rate_limits = this->rate_limits;
   const auto runner = std::make_shared<DirectRunner>(
       std::move(environment),
       std::make_unique<DirectFlow>(context, std::move(direct_request), number),
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -44,8 +44,9 @@
                 std::shared_ptr<peers::IPeers> peers,
                 std::shared_ptr<membership::IMembership> membership,
                 std::shared_ptr<kernel::Metrics> metrics,
-                std::shared_ptr<CrashMonitor> crashes, std::uint64_t seed,
-                kernel::TimePoint now);
+                std::shared_ptr<CrashMonitor> crashes,
+                std::shared_ptr<limits::IRateLimits> rate_limits,
+                std::uint64_t seed, kernel::TimePoint now);
 
   void Handle(http::IHttpExchange& exchange) override;
   http::HttpResponse RefuseOverload(const http::HttpRequest& request,
@@ -105,6 +106,7 @@
   std::shared_ptr<membership::IMembership> membership;
   std::shared_ptr<kernel::Metrics> metrics;
   std::shared_ptr<CrashMonitor> crashes;
+  std::shared_ptr<limits::IRateLimits> rate_limits;
   EndpointPool pool;
   RetryAllowance retries;
   RequestQueue queue;
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -41,12 +41,14 @@
 EndpointPool::EndpointPool(std::string failure_domain, const PoolLimits& limits,
                            std::uint64_t seed,
                            InFlightFromPeers in_flight_from_peers,
-                           SlowdownOf slowdown_of)
+                           SlowdownOf slowdown_of,
+                           limits::IRateLimits* rate_limits)
     : failure_domain(std::move(failure_domain)),
       limits(limits),
       seed(seed),
       in_flight_from_peers(std::move(in_flight_from_peers)),
-      slowdown_of(std::move(slowdown_of)) {}
+      slowdown_of(std::move(slowdown_of)),
+      rate_limits(rate_limits) {}
 
 std::shared_ptr<EndpointPool::Service> EndpointPool::Find(
     const std::string& service) {
@@ -137,7 +139,7 @@
   for (auto& [id, endpoint] : service.endpoints) {
     const bool usable = IsUsable(endpoint, now) && excluded.count(id) == 0;
     const auto load = usable ? this->LoadOf(endpoint, now) : std::nullopt;
-    if (!load) continue;
+    if (!load || !this->IsPermitted(id, now)) continue;
     auto& candidates = now < endpoint.ejected_until       ? ejected
                        : this->IsLocal(endpoint.instance) ? local
                                                           : remote;
@@ -179,6 +181,8 @@
   if (found->in_flight == 0) found->last_progress_at = now;
   ++found->in_flight;
   ++best->in_flight;
+  if (this->rate_limits != nullptr)
+    this->rate_limits->OnSent(best->instance.id, now);
   // This request probes whether the service accepts requests. Until it does,
   // the next one is sent after probe_interval at the earliest.
   if (this->IsUnavailable(*found))
@@ -373,6 +377,10 @@
       add("elsewhere", std::to_string(this->in_flight_from_peers(id)));
       add("slots", std::to_string(this->SlotsOf(endpoint)));
       add("pace", std::to_string(this->slowdown_of(endpoint.instance.address)));
+      const auto limit = this->rate_limits != nullptr
+                             ? this->rate_limits->LimitOf(id, now)
+                             : std::nullopt;
+      if (limit) add("limit", std::to_string(*limit));
       add("ejected", now < endpoint.ejected_until ? "yes" : "no");
       lines.push_back(std::move(line));
     }
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -12,6 +12,7 @@
 
 #include "direct/internal/outage_estimator.h"
 #include "kernel/time.h"
+#include "limits/i_rate_limits.h"
 #include "membership/instances.h"
 
 namespace banyanlane::direct {
@@ -106,9 +107,12 @@
   /// work relative to normal, where 2 is twice as slow.
   using SlowdownOf = std::function<double(const std::string&)>;
 
+  /// @param rate_limits permits for endpoints with a limit of requests a
+  /// second; null if there are none. Outlives this object.
   EndpointPool(std::string failure_domain, const PoolLimits& limits,
                std::uint64_t seed, InFlightFromPeers in_flight_from_peers,
-               SlowdownOf slowdown_of);
+               SlowdownOf slowdown_of,
+               limits::IRateLimits* rate_limits = nullptr);
 
   /// Replaces the instance list. The state of an endpoint is kept while it is
   /// listed or has requests in flight.
@@ -225,6 +229,10 @@
   /// The slots are divided by the endpoint's slowdown if that is above 1.
   std::optional<double> LoadOf(const Endpoint& endpoint,
                                kernel::TimePoint now) const;
+  /// Returns whether the rate limit of the endpoint, if any, permits a request.
+  bool IsPermitted(const std::string& id, kernel::TimePoint now) const {
+    return this->rate_limits == nullptr || this->rate_limits->MaySend(id, now);
+  }
   bool IsLocal(const membership::Instance& instance) const {
     return instance.failure_domain == this->failure_domain;
   }
@@ -248,6 +256,7 @@
   std::uint64_t seed;
   InFlightFromPeers in_flight_from_peers;
   SlowdownOf slowdown_of;
+  limits::IRateLimits* rate_limits;
   std::mutex mutex;  ///< Guards `services`, but not the services themselves.
   std::map<std::string, std::shared_ptr<Service>> services;
 };
--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -116,6 +116,9 @@
        "The endpoint responds again."},
       {EventId::kEndpointLeaving, "endpoint_leaving", Level::kInfo,
        "The endpoint accepts no new work."},
+      {EventId::kEndpointLimited, "endpoint_limited", Level::kInfo,
+       "An endpoint has named a limit of requests a second for all gateways "
+       "together, or ended it (0)."},
       {EventId::kWorkSuspected, "work_suspected", Level::kWarning,
        "Work was running when an endpoint was lost; from now on it runs in "
        "isolation."},
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -43,6 +43,7 @@
   kEndpointLost = 500,
   kEndpointBack = 501,
   kEndpointLeaving = 502,
+  kEndpointLimited = 503,
   kWorkSuspected = 510,
   kWorkQuarantined = 511,
   kWorkCleared = 512,
--- a/src/link/internal/codec.cc
+++ b/src/link/internal/codec.cc
@@ -63,12 +63,13 @@
 /// Names of the types of Message, in their order.
 constexpr std::array<std::string_view, std::variant_size_v<Message>>
     kMessageNames = {
-        "hello",          "heartbeat",     "submit",        "started",
-        "head",           "chunk",         "ended",         "revoke",
-        "cancel",         "resume",        "consumed",      "config_announce",
-        "config_pull",    "config_value",  "list_announce", "list_pull",
-        "list_value",     "evidence",      "peer_states",   "rank_status",
-        "switch_command", "expert_counts", "work_report"};
+        "hello",          "heartbeat",      "submit",        "started",
+        "head",           "chunk",          "ended",         "revoke",
+        "cancel",         "resume",         "consumed",      "config_announce",
+        "config_pull",    "config_value",   "list_announce", "list_pull",
+        "list_value",     "evidence",       "peer_states",   "rank_status",
+        "switch_command", "expert_counts",  "work_report",   "rate_limit",
+        "coordinator",    "permit_request", "permit_grant"};
 
 struct MalformedFrame {
   std::string detail;
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -515,6 +515,56 @@
   }
 };
 
+/// Gateway to gateway: an endpoint has named a limit for the requests of all
+/// gateways together, or has ended it.
+struct RateLimit {
+  std::string endpoint;
+  /// Thousandths of a request a second; 0 if the endpoint has no limit.
+  std::uint64_t milli_per_second = 0;
+  std::uint64_t age_ms = 0;  ///< Time since the endpoint's response.
+
+  template <typename Visitor>
+  void Visit(Visitor& visit) {
+    visit(this->endpoint, this->milli_per_second, this->age_ms);
+  }
+};
+
+/// Gateway to gateway: the gateway that hands out permits for endpoints with a
+/// limit, as far as the sender knows.
+struct Coordinator {
+  std::uint64_t candidate = 0;  ///< The highest one becomes the coordinator.
+  /// Grows with each message that the coordinator itself sends.
+  std::uint64_t sequence = 0;
+
+  template <typename Visitor>
+  void Visit(Visitor& visit) {
+    visit(this->candidate, this->sequence);
+  }
+};
+
+/// Gateway to gateway, towards the coordinator: asks for permits to send
+/// requests to an endpoint.
+struct PermitRequest {
+  std::string endpoint;
+  std::uint64_t count = 1;
+
+  template <typename Visitor>
+  void Visit(Visitor& visit) {
+    visit(this->endpoint, this->count);
+  }
+};
+
+/// Gateway to gateway, away from the coordinator: permits one request.
+struct PermitGrant {
+  std::string endpoint;
+  std::uint64_t lifetime_ms = 0;  ///< Time until the permit expires.
+
+  template <typename Visitor>
+  void Visit(Visitor& visit) {
+    visit(this->endpoint, this->lifetime_ms);
+  }
+};
+
 /// Any message. The index of the type is its number on the wire, so new types
 /// are added at the end.
 using Message =
@@ -522,7 +572,8 @@
                  Cancel, Resume, Consumed, ConfigAnnounce, ConfigPull,
                  ConfigValue, ListAnnounce, ListPull, ListValue, Evidence,
                  PeerStates, RankStatus, SwitchCommand, ExpertCounts,
-                 WorkReport>;
+                 WorkReport, RateLimit, Coordinator, PermitRequest,
+                 PermitGrant>;
 
 /// Returns the name of the type of `message` for logs and metrics.
 std::string_view MessageName(const Message& message);
