Refuse at once what the limits of all endpoints cannot carry

Cause: the queue predicts a wait from the rate of dispatched requests, and knows none after 2 s without one. Change: where all usable endpoints have limits and no rate is known, this gateway's part of the limits gives the wait; the time to return follows from it as well. More urgent requests do not wait for less urgent ones. Result: limited_endpoint/refuses_at_once_what_the_limits_cannot_carry failed with the rate of the limits left out, and passes with three others.

--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -10,6 +10,7 @@
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr double kMillisPerSecond = 1'000;
 
 }  // namespace
 
@@ -122,8 +123,7 @@
     return;
   }
   const kernel::Millis max_wait = this->MaxWait(now);
-  const auto expected =
-      this->context.queue.ExpectedWait(service, this->request.urgency, now);
+  const auto expected = this->ExpectedWait(now);
   // While a service is unavailable, the recent rate of the queue does not
   // predict the rate once the service accepts requests again.
   const bool is_unavailable = this->context.pool.IsUnavailable(service);
@@ -138,6 +138,27 @@
                                              this->number, this->DispatchBy());
 }
 
+std::optional<kernel::Millis> DirectFlow::ExpectedWait(
+    kernel::TimePoint now) const {
+  const std::string& service = this->request.service;
+  const std::int64_t urgency = this->request.urgency;
+  const auto expected = this->context.queue.ExpectedWait(service, urgency, now);
+  if (expected) return expected;
+  return this->PermitWait(this->context.queue.CountAhead(service, urgency, now),
+                          now);
+}
+
+std::optional<kernel::Millis> DirectFlow::PermitWait(
+    std::size_t requests, kernel::TimePoint now) const {
+  const auto rate =
+      this->context.pool.PermittedRate(this->request.service, now);
+  if (!rate) return std::nullopt;
+  const double own_rate =
+      *rate / static_cast<double>(this->context.gateway_count);
+  return kernel::Millis(static_cast<std::int64_t>(
+      static_cast<double>(requests) / own_rate * kMillisPerSecond));
+}
+
 kernel::Millis DirectFlow::MaxWait(kernel::TimePoint now) const {
   const DirectLimits& limits = this->context.limits;
   const auto max_wait = kernel::Millis(static_cast<std::int64_t>(
@@ -193,7 +214,7 @@
       this->connect_failures > this->context.limits.max_connect_failures ||
       this->MillisLeft(now) < this->context.limits.min_time_left.count();
   if (should_fail) {
-    this->FailRequest("unreachable", this->RetryAfter());
+    this->FailRequest("unreachable", this->RetryAfter(now));
   } else {
     this->SendOrWait(now);
   }
@@ -207,7 +228,7 @@
     this->SendOrWait(now);
     return;
   }
-  this->FailRequest("endpoints_full", this->RetryAfter());
+  this->FailRequest("endpoints_full", this->RetryAfter(now));
 }
 
 void DirectFlow::OnResponseLost(AttemptResult /*result*/,
@@ -241,7 +262,7 @@
   if (this->state == State::kQueued) {
     if (now < this->wait_deadline && now < this->deadline) return {};
     this->LeaveQueue(now);
-    this->FailRequest("no_room", this->RetryAfter());
+    this->FailRequest("no_room", this->RetryAfter(now));
     return this->TakeActions();
   }
   if (now >= this->deadline) {
@@ -312,9 +333,14 @@
   this->endpoint.reset();
 }
 
-kernel::Millis DirectFlow::RetryAfter() const {
-  return std::max(this->context.limits.retry_after,
-                  this->context.pool.ExpectedOutage(this->request.service));
+kernel::Millis DirectFlow::RetryAfter(kernel::TimePoint now) const {
+  const std::string& service = this->request.service;
+  const std::size_t ahead =
+      this->context.queue.CountAhead(service, this->request.urgency, now);
+  return std::max(
+      {this->context.limits.retry_after,
+       this->context.pool.ExpectedOutage(service),
+       this->PermitWait(ahead + 1, now).value_or(kernel::Millis{0})});
 }
 
 void DirectFlow::FailRequest(std::string_view reason,
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -120,6 +120,12 @@
   bool Send(kernel::TimePoint now);
   /// Enqueues the request, or fails it if a wait would be too long or futile.
   void WaitForCapacity(kernel::TimePoint now);
+  /// Returns the expected wait in the queue, or nothing if it is not known.
+  std::optional<kernel::Millis> ExpectedWait(kernel::TimePoint now) const;
+  /// Returns the time in which this gateway's part of the rate limits permits a
+  /// number of requests, or nothing if an endpoint has no limit.
+  std::optional<kernel::Millis> PermitWait(std::size_t requests,
+                                           kernel::TimePoint now) const;
   kernel::Millis MaxWait(kernel::TimePoint now) const;
   /// Returns the latest time at which the request must be sent to be answered
   /// on time.
@@ -154,7 +160,7 @@
   void Release(AttemptResult result);
   /// Returns the time after which the caller may retry a request that has not
   /// run.
-  kernel::Millis RetryAfter() const;
+  kernel::Millis RetryAfter(kernel::TimePoint now) const;
   /// Ends the request without a complete response. Aborts the response if the
   /// caller has received a part of it; otherwise sends a refusal that says
   /// whether the request may have run.
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -200,6 +200,21 @@
   return this->FindBest(*found, {}, now) != nullptr;
 }
 
+std::optional<double> EndpointPool::PermittedRate(const std::string& service,
+                                                  kernel::TimePoint now) {
+  const auto found = this->Find(service);
+  if (!found || this->rate_limits == nullptr) return std::nullopt;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  double rate = 0;
+  for (const auto& [id, endpoint] : found->endpoints) {
+    if (!IsUsable(endpoint, now)) continue;
+    const auto limit = this->rate_limits->LimitOf(id, now);
+    if (!limit) return std::nullopt;
+    rate += *limit;
+  }
+  return rate > 0 ? std::optional(rate) : std::nullopt;
+}
+
 bool EndpointPool::HasEndpoints(const std::string& service,
                                 const std::set<std::string>& excluded,
                                 kernel::TimePoint now) {
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -139,6 +139,12 @@
   /// 0 if it is available.
   kernel::Millis ExpectedOutage(const std::string& service);
 
+  /// Returns the requests a second that the rate limits of the endpoints of
+  /// `service` permit to all gateways together, or nothing if a usable endpoint
+  /// has no limit.
+  std::optional<double> PermittedRate(const std::string& service,
+                                      kernel::TimePoint now);
+
   /// Returns whether `service` has an endpoint outside of `excluded` that is
   /// listed as live and not in its replaced_pause. It may have no capacity now.
   bool HasEndpoints(const std::string& service,
--- a/src/direct/internal/request_queue.cc
+++ b/src/direct/internal/request_queue.cc
@@ -11,14 +11,27 @@
 
 }  // namespace
 
+std::size_t RequestQueue::CountAhead(const ServiceQueue& queue,
+                                     std::int64_t urgency,
+                                     kernel::TimePoint now) const {
+  const auto position = queue.entries.upper_bound({urgency, this->last_ticket});
+  return static_cast<std::size_t>(std::count_if(
+      queue.entries.begin(), position,
+      [now](const auto& entry) { return entry.second.dispatch_by > now; }));
+}
+
+std::size_t RequestQueue::CountAhead(const std::string& service,
+                                     std::int64_t urgency,
+                                     kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->CountAhead(this->queues[service], urgency, now);
+}
+
 std::optional<kernel::Millis> RequestQueue::ExpectedWait(
     const std::string& service, std::int64_t urgency, kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   ServiceQueue& queue = this->queues[service];
-  const auto position = queue.entries.upper_bound({urgency, this->last_ticket});
-  const auto ahead = std::count_if(
-      queue.entries.begin(), position,
-      [now](const auto& entry) { return entry.second.dispatch_by > now; });
+  const std::size_t ahead = this->CountAhead(queue, urgency, now);
   if (ahead == 0) return kernel::Millis{0};
   const bool is_stale = now - queue.rate_updated_at > 2 * kRateWindow;
   if (queue.dispatched_per_second <= 0 || is_stale) return std::nullopt;
--- a/src/direct/internal/request_queue.h
+++ b/src/direct/internal/request_queue.h
@@ -20,6 +20,11 @@
 /// late waits behind these, since sending it first could make another one late.
 class RequestQueue {
  public:
+  /// Returns the number of requests that are sent before one that is enqueued
+  /// now.
+  std::size_t CountAhead(const std::string& service, std::int64_t urgency,
+                         kernel::TimePoint now);
+
   /// Returns the expected wait of a request that is enqueued now, from the
   /// recent rate of dispatched requests, or 0 when no request is ahead of it.
   /// Returns nothing when no recent rate is known.
@@ -70,6 +75,10 @@
     std::int64_t dispatched = 0;  ///< Count since rate_updated_at.
   };
 
+  /// Requires the lock.
+  std::size_t CountAhead(const ServiceQueue& queue, std::int64_t urgency,
+                         kernel::TimePoint now) const;
+
   std::mutex mutex;
   std::unordered_map<std::string, ServiceQueue> queues;
   std::uint64_t last_ticket = 0;
--- a/src/direct/tests/flow_harness.h
+++ b/src/direct/tests/flow_harness.h
@@ -53,10 +53,11 @@
  public:
   FlowHarness(bool streaming, bool repeatable, int endpoints = 3,
               RetryLimits retry_limits = {0.2, kernel::Millis(10'000), 100,
-                                          1.0})
+                                          1.0},
+              limits::IRateLimits* rate_limits = nullptr)
       : pool(
             "a", PoolLimits{}, 1, [](const std::string&) { return 0; },
-            [](const std::string&) { return 1.0; }),
+            [](const std::string&) { return 1.0; }, rate_limits),
         retries(retry_limits, kernel::TimePoint{}) {
     this->pool.OnInstances(ListOf(endpoints));
     auto snapshot = std::make_shared<config::ConfigSnapshot>();
