Begin no watch after a stop

Cause: a driver that was stopped while it watched could begin a check or a new watch on its next tick. Change: Stop ends the watch for good.

--- a/src/catalog/internal/follower_driver.cc
+++ b/src/catalog/internal/follower_driver.cc
@@ -53,6 +53,7 @@
 void FollowerDriver::Stop() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->stopped = true;
+  this->watching = false;
   ++this->call_number;
   if (this->call) this->call->Cancel();
 }
