--- a/src/limits/internal/rate_limits.cc
+++ b/src/limits/internal/rate_limits.cc
@@ -80,12 +80,12 @@
   std::visit(
       [this, &link, now](const auto& received) {
         using Received = std::decay_t<decltype(received)>;
-        constexpr bool is_handled =
+        constexpr bool kIsHandled =
             std::is_same_v<Received, link::RateLimit> ||
             std::is_same_v<Received, link::Coordinator> ||
             std::is_same_v<Received, link::PermitRequest> ||
             std::is_same_v<Received, link::PermitGrant>;
-        if constexpr (is_handled) {
+        if constexpr (kIsHandled) {
           this->Apply(now, [&](SharedRateLimits& limits) {
             limits.OnMessage(link->id(), received, now);
           });
