--- a/src/catalog/internal/contact_exchange.cc
+++ b/src/catalog/internal/contact_exchange.cc
@@ -4,13 +4,9 @@
 
 #include "config/config_version.h"
 #include "kernel/hash.h"
+#include "peers/i_peers.h"
 
 namespace banyanlane::catalog {
-namespace {
-
-constexpr const char* kGatewayRole = "gateway";
-
-}  // namespace
 
 ContactExchange::ContactExchange(std::string node, const ContactLimits& limits)
     : node(std::move(node)),
@@ -36,7 +32,7 @@
 
 void ContactExchange::OnLinkUp(const link::LinkPtr& link,
                                kernel::TimePoint /*now*/) {
-  if (link->peer().role != kGatewayRole) return;
+  if (link->peer().role != peers::kGatewayRole) return;
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->gateways[link->id()] = link->peer().node;
 }
--- a/src/limits/internal/shared_rate_limits.cc
+++ b/src/limits/internal/shared_rate_limits.cc
@@ -44,23 +44,25 @@
                                   kernel::TimePoint sent_at,
                                   kernel::TimePoint now) {
   const auto found = this->known.find(endpoint);
-  if (found == this->known.end()) {
-    if (!per_second) return;
-  } else {
-    // A response to a request from before the last change may be older than
-    // that change.
-    const Limit& limit = found->second;
-    const bool is_limited = limit.per_second > 0;
-    const kernel::TimePoint changed_at =
-        is_limited ? limit.named_at : limit.observed_at;
-    const bool contradicts = is_limited != per_second.has_value();
-    if (contradicts && sent_at < changed_at) return;
-  }
+  if (found == this->known.end() && !per_second) return;
+  const bool is_outdated =
+      found != this->known.end() &&
+      IsOutdated(found->second, per_second.has_value(), sent_at);
+  if (is_outdated) return;
   if (!this->Observe(endpoint, per_second.value_or(0), now, now)) return;
   this->SendToAll(NewsOf(endpoint, this->known.at(endpoint), now),
                   std::nullopt);
 }
 
+bool SharedRateLimits::IsOutdated(const Limit& limit, bool names_limit,
+                                  kernel::TimePoint sent_at) {
+  const bool is_limited = limit.per_second > 0;
+  if (is_limited == names_limit) return false;
+  const kernel::TimePoint changed_at =
+      is_limited ? limit.named_at : limit.observed_at;
+  return sent_at < changed_at;
+}
+
 bool SharedRateLimits::Observe(const std::string& endpoint, double per_second,
                                kernel::TimePoint observed_at,
                                kernel::TimePoint now) {
@@ -105,10 +107,11 @@
                                          const Limit& limit,
                                          kernel::TimePoint now) {
   const auto age = kernel::MillisBetween(limit.observed_at, now);
-  return {endpoint,
-          static_cast<std::uint64_t>(
-              std::llround(limit.per_second * kMilliPerUnit)),
-          static_cast<std::uint64_t>(std::max<std::int64_t>(0, age))};
+  // Rounded up, since 0 is the end of a limit.
+  return {
+      endpoint,
+      static_cast<std::uint64_t>(std::ceil(limit.per_second * kMilliPerUnit)),
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, age))};
 }
 
 void SharedRateLimits::SendToAll(const link::Message& message,
--- a/src/limits/internal/shared_rate_limits.h
+++ b/src/limits/internal/shared_rate_limits.h
@@ -124,6 +124,11 @@
     kernel::TimePoint refilled_at;
   };
 
+  /// Returns whether a response that contradicts `limit` may be older than what
+  /// is known, because its request was sent before that.
+  static bool IsOutdated(const Limit& limit, bool names_limit,
+                         kernel::TimePoint sent_at);
+  /// Records what a response to this or another gateway said.
   /// @return whether to tell other gateways.
   bool Observe(const std::string& endpoint, double per_second,
                kernel::TimePoint observed_at, kernel::TimePoint now);
