--- a/src/limits/tests/simulated_gateways.cc
+++ b/src/limits/tests/simulated_gateways.cc
@@ -118,8 +118,7 @@
   return live / known;
 }
 
-void SimulatedGateways::Send(std::size_t index) {
-  Gateway& gateway = *this->gateways[index];
+void SimulatedGateways::SendRequests(Gateway& gateway) {
   std::uniform_real_distribution<double> chance(0, 1);
   const double per_step =
       gateway.per_second * static_cast<double>(kStep.count()) / kSecond;
@@ -130,59 +129,74 @@
     gateway.sent.push_back(this->now);
     this->arrivals.push_back(this->now);
   }
+}
+
+void SimulatedGateways::ReceiveResponses(Gateway& gateway) {
+  const auto named =
+      this->limit > 0 ? std::optional(this->limit) : std::nullopt;
   while (!gateway.sent.empty() &&
          this->now - gateway.sent.front() >= kResponseTime) {
-    const auto named =
-        this->limit > 0 ? std::optional(this->limit) : std::nullopt;
     gateway.limits->OnResponse(kServer, named, gateway.sent.front(), this->now);
     gateway.sent.pop_front();
   }
 }
 
+void SimulatedGateways::StartProcesses() {
+  bool has_started = false;
+  for (auto& gateway : this->gateways) {
+    const bool starts = gateway->is_running && !gateway->limits &&
+                        this->now >= gateway->starts_at;
+    if (!starts) continue;
+    gateway->limits =
+        std::make_unique<SharedRateLimits>(this->random(), PermitLimits{});
+    has_started = true;
+  }
+  if (has_started) this->ConnectAll();
+}
+
+void SimulatedGateways::DeliverMessages() {
+  while (!this->deliveries.empty() &&
+         this->deliveries.front().at <= this->now) {
+    const Delivery delivery = std::move(this->deliveries.front());
+    this->deliveries.pop_front();
+    if (!this->links[delivery.from][delivery.to]) continue;
+    SharedRateLimits& limits = *this->gateways[delivery.to]->limits;
+    const auto pass = [&](const auto* message) {
+      if (message != nullptr)
+        limits.OnMessage(delivery.from, *message, this->now);
+    };
+    pass(std::get_if<link::RateLimit>(&delivery.message));
+    pass(std::get_if<link::Coordinator>(&delivery.message));
+    pass(std::get_if<link::PermitRequest>(&delivery.message));
+    pass(std::get_if<link::PermitGrant>(&delivery.message));
+    limits.Step(this->now);
+  }
+}
+
+void SimulatedGateways::Step(std::size_t index) {
+  Gateway& gateway = *this->gateways[index];
+  this->SendRequests(gateway);
+  this->ReceiveResponses(gateway);
+  const auto elapsed = std::chrono::duration_cast<Millis>(this->now - kStart);
+  const Millis phase = kStep * static_cast<std::int64_t>(index);
+  if ((elapsed + phase) % kTick == Millis{0}) {
+    gateway.limits->SetReach(this->ReachOf(index));
+    gateway.limits->Step(this->now);
+  }
+  for (SharedRateLimits::Outgoing& outgoing : gateway.limits->TakeMessages()) {
+    this->deliveries.push_back({index, outgoing.link,
+                                std::move(outgoing.message),
+                                this->now + kLinkDelay});
+  }
+}
+
 void SimulatedGateways::Run(Millis span) {
   const TimePoint end = this->now + span;
   for (; this->now < end; this->now += kStep) {
-    bool has_started = false;
-    for (auto& gateway : this->gateways) {
-      const bool starts = gateway->is_running && !gateway->limits &&
-                          this->now >= gateway->starts_at;
-      if (!starts) continue;
-      gateway->limits =
-          std::make_unique<SharedRateLimits>(this->random(), PermitLimits{});
-      has_started = true;
-    }
-    if (has_started) this->ConnectAll();
-    while (!this->deliveries.empty() &&
-           this->deliveries.front().at <= this->now) {
-      const Delivery delivery = std::move(this->deliveries.front());
-      this->deliveries.pop_front();
-      if (!this->links[delivery.from][delivery.to]) continue;
-      SharedRateLimits& limits = *this->gateways[delivery.to]->limits;
-      const auto pass = [&](const auto* message) {
-        if (message != nullptr)
-          limits.OnMessage(delivery.from, *message, this->now);
-      };
-      pass(std::get_if<link::RateLimit>(&delivery.message));
-      pass(std::get_if<link::Coordinator>(&delivery.message));
-      pass(std::get_if<link::PermitRequest>(&delivery.message));
-      pass(std::get_if<link::PermitGrant>(&delivery.message));
-      limits.Step(this->now);
-    }
-    const auto elapsed = std::chrono::duration_cast<Millis>(this->now - kStart);
+    this->StartProcesses();
+    this->DeliverMessages();
     for (std::size_t i = 0; i < this->gateways.size(); ++i) {
-      if (!this->gateways[i]->limits) continue;
-      SharedRateLimits& limits = *this->gateways[i]->limits;
-      this->Send(i);
-      if ((elapsed + kStep * static_cast<std::int64_t>(i)) % kTick ==
-          Millis{0}) {
-        limits.SetReach(this->ReachOf(i));
-        limits.Step(this->now);
-      }
-      for (SharedRateLimits::Outgoing& outgoing : limits.TakeMessages()) {
-        this->deliveries.push_back({i, outgoing.link,
-                                    std::move(outgoing.message),
-                                    this->now + kLinkDelay});
-      }
+      if (this->gateways[i]->limits) this->Step(i);
     }
   }
 }
--- a/src/limits/tests/simulated_gateways.h
+++ b/src/limits/tests/simulated_gateways.h
@@ -10,14 +10,15 @@
 
 namespace banyanlane::limits {
 
-/// Gateways in simulated time that send requests to one server with a limit,
-/// and to others without one.
+/// Gateways in simulated time that send requests to one server. Requests for
+/// which there is no permit go elsewhere.
 class SimulatedGateways {
  public:
   /// @param size number of gateways; each is linked to at most 96 others.
   /// @param per_second requests a second of each gateway.
   SimulatedGateways(std::size_t size, const std::vector<double>& per_second,
                     std::uint64_t seed);
+  ~SimulatedGateways();
 
   /// Lets `span` pass.
   void Run(kernel::Millis span);
@@ -41,9 +42,15 @@
   struct Gateway;
   struct Delivery;
 
+  /// Starts the processes whose down time is over.
+  void StartProcesses();
+  void DeliverMessages();
+  /// Lets one gateway send requests and messages, and receive responses.
+  void Step(std::size_t gateway);
   void ConnectAll();
   void SetLink(std::size_t left, std::size_t right, bool is_up);
-  void Send(std::size_t gateway);
+  void SendRequests(Gateway& gateway);
+  void ReceiveResponses(Gateway& gateway);
   bool IsNear(std::size_t left, std::size_t right) const;
   double ReachOf(std::size_t gateway) const;
 
@@ -54,9 +61,6 @@
   std::vector<std::vector<bool>> links;
   std::deque<Delivery> deliveries;
   std::vector<kernel::TimePoint> arrivals;
-
- public:
-  ~SimulatedGateways();
 };
 
 }  // namespace banyanlane::limits
