--- a/src/limits/tests/shared_rate_limits_test.cc
+++ b/src/limits/tests/shared_rate_limits_test.cc
@@ -97,6 +97,31 @@
   }
 }
 
+Test(shared_rate_limits, hold_on_both_sides_of_a_partition_together) {
+  constexpr double kLimit = 4;
+  for (const std::size_t size : {4, 9, 32}) {
+    SimulatedGateways gateways(size, {10}, 1);
+    const TimePoint since = Settle(gateways, kLimit);
+    gateways.SetSplit(true);
+    gateways.Run(kSpan);
+    gateways.SetSplit(false);
+    gateways.Run(kSpan);
+    cr_expect_leq(gateways.MostInFourSeconds(since), Allowed(kLimit),
+                  "%zu gateways: %d", size, gateways.MostInFourSeconds(since));
+  }
+}
+
+Test(shared_rate_limits, hold_when_idle_gateways_get_a_burst) {
+  constexpr double kLimit = 4;
+  SimulatedGateways gateways(390, {0.1}, 1);
+  const TimePoint since = Settle(gateways, kLimit);
+  gateways.Run(Millis{30'000});
+  gateways.SetTraffic(200);
+  gateways.Run(Millis{4'000});
+  cr_expect_leq(gateways.MostInFourSeconds(since), Allowed(kLimit), "%d",
+                gateways.MostInFourSeconds(since));
+}
+
 Test(shared_rate_limits, follow_a_changed_number_and_end) {
   for (const std::size_t size : {3, 32, 390}) {
     SimulatedGateways gateways(size, {4}, 1);
--- a/src/limits/tests/simulated_gateways.cc
+++ b/src/limits/tests/simulated_gateways.cc
@@ -80,9 +80,11 @@
       const auto is_up = [this](const Gateway& gateway) {
         return gateway.limits != nullptr && !gateway.is_cut;
       };
+      const std::size_t half = this->gateways.size() / 2;
+      const bool is_divided = this->is_split && (i < half) != (j < half);
       this->SetLink(i, j,
-                    this->IsNear(i, j) && is_up(*this->gateways[i]) &&
-                        is_up(*this->gateways[j]));
+                    !is_divided && this->IsNear(i, j) &&
+                        is_up(*this->gateways[i]) && is_up(*this->gateways[j]));
     }
   }
 }
@@ -99,6 +101,11 @@
   this->ConnectAll();
 }
 
+void SimulatedGateways::SetSplit(bool split) {
+  this->is_split = split;
+  this->ConnectAll();
+}
+
 void SimulatedGateways::SetRunning(std::size_t first, bool is_running) {
   for (std::size_t i = first; i < this->gateways.size(); ++i) {
     this->gateways[i]->is_running = is_running;
@@ -120,8 +127,8 @@
 
 void SimulatedGateways::SendRequests(Gateway& gateway) {
   std::uniform_real_distribution<double> chance(0, 1);
-  const double per_step =
-      gateway.per_second * static_cast<double>(kStep.count()) / kSecond;
+  const double per_step = gateway.per_second * this->traffic *
+                          static_cast<double>(kStep.count()) / kSecond;
   for (double left = per_step; left > 0; left -= 1) {
     if (chance(this->random) >= left) continue;
     if (!gateway.limits->MaySend(kServer, this->now)) continue;
--- a/src/limits/tests/simulated_gateways.h
+++ b/src/limits/tests/simulated_gateways.h
@@ -28,6 +28,10 @@
   void Restart(std::size_t gateway);
   /// Cuts the links of a gateway to the others, or restores them.
   void SetCut(std::size_t gateway, bool is_cut);
+  /// Cuts the links between the two halves of the gateways, or restores them.
+  void SetSplit(bool split);
+  /// Multiplies the traffic of all gateways.
+  void SetTraffic(double factor) { this->traffic = factor; }
   /// Starts the gateways from `first` on, which were down, or stops them.
   void SetRunning(std::size_t first, bool is_running);
 
@@ -57,6 +61,8 @@
   kernel::TimePoint now;
   std::minstd_rand random;
   double limit = 0;
+  double traffic = 1;
+  bool is_split = false;
   std::vector<std::unique_ptr<Gateway>> gateways;
   std::vector<std::vector<bool>> links;
   std::deque<Delivery> deliveries;
