Show that popular work goes on crashing endpoints, and that sound work is refused

The other side of the same count: three endpoints that lose power at the same moment count as three crashes, so that sound work is refused. No logic changed.

--- a/tests/processes/gateway_crash_test.cc
+++ b/tests/processes/gateway_crash_test.cc
@@ -11,6 +11,7 @@
 /// Endpoints that one request, or one prompt part, may end before and after it
 /// is known to crash them.
 constexpr int kMaxEnds = 6;
+constexpr int kSoundRequests = 20;
 
 std::string ServerName(int number) { return "s" + std::to_string(number); }
 
@@ -60,6 +61,54 @@
   }
 }
 
+Test(
+    gateway_crash,
+    a_request_that_was_popular_and_sound_is_refused_once_it_crashes_endpoints) {
+  GatewayFleet fleet;
+  StartFleet(fleet);
+  const std::vector<std::string> gateways = {"g1", "g2"};
+  for (int i = 0; i < kSoundRequests; ++i)
+    cr_assert_eq(fleet.Post(gateways[i % 2], "/plain/popular", "").status, kOk);
+  int ends = 0;
+  http::HttpResponse last;
+  for (int i = 0; i < 12; ++i) {
+    for (int k = 1; k <= kServers; ++k)
+      fleet.CrashOn(ServerName(k), "/plain/popular");
+    last = fleet.Post(gateways[i % 2], "/plain/popular", "");
+    ends += RestartEnded(fleet);
+    cr_assert(fleet.AwaitServed(gateways[i % 2], "/plain/a"));
+  }
+  cr_assert_leq(ends, kMaxEnds);
+  cr_assert_eq(last.status, kUnavailable);
+}
+
+Test(gateway_crash,
+     sound_requests_are_served_after_all_endpoints_have_crashed) {
+  GatewayFleet fleet;
+  StartFleet(fleet);
+  for (int round = 0; round < 4; ++round) {
+    std::vector<std::shared_ptr<ResponseRecorder>> pending;
+    for (int i = 0; i < 2 * kServers; ++i) {
+      pending.push_back(
+          fleet.StartPost(i % 2 == 0 ? "g1" : "g2", "/stream/popular", "SLOW"));
+    }
+    for (int k = 1; k <= kServers; ++k) {
+      cr_assert(
+          Fleet::Await([&] { return fleet.RunCount(ServerName(k)) > 0; }));
+    }
+    for (int k = 1; k <= kServers; ++k) fleet.Kill(ServerName(k));
+    cr_assert_eq(RestartEnded(fleet), kServers);
+    for (const char* gateway : {"g1", "g2"}) {
+      cr_assert(Fleet::Await([&] {
+        const auto response = fleet.Post(gateway, "/stream/popular", "SLOW");
+        cr_assert_eq(response.body.find("quarantined"), std::string::npos,
+                     "round %d", round);
+        return response.status == kOk;
+      }));
+    }
+  }
+}
+
 Test(gateway_crash, a_gateway_that_starts_again_learns_what_crashes_endpoints) {
   GatewayFleet fleet;
   StartFleet(fleet);
--- a/tests/processes/gateway_fleet.cc
+++ b/tests/processes/gateway_fleet.cc
@@ -114,6 +114,11 @@
               {"PUT", "/control/limit", {}, per_second, ""}, kControlTimeout);
 }
 
+void GatewayFleet::CrashOn(const std::string& server, const std::string& path) {
+  http::Fetch(this->Address(server), {"PUT", "/control/crash", {}, path, ""},
+              kControlTimeout);
+}
+
 bool GatewayFleet::ListsServer(const std::string& gateway,
                                const std::string& server,
                                const std::string& state) {
--- a/tests/processes/gateway_fleet.h
+++ b/tests/processes/gateway_fleet.h
@@ -39,6 +39,8 @@
   /// Lets a server name a limit in its responses.
   /// @param per_second requests a second, or "" to end the limit.
   void NameLimit(const std::string& server, const std::string& per_second);
+  /// Lets requests for `path` end a server until its process has ended.
+  void CrashOn(const std::string& server, const std::string& path);
   /// Starts a gateway that is linked to those added before.
   void AddGateway(const std::string& name);
   /// Starts the process of a gateway that AddGateway has set up.
--- a/tests/standins/server_standin.cc
+++ b/tests/standins/server_standin.cc
@@ -38,6 +38,11 @@
       exchange.Reply({200, {}, "ok\n"});
       return;
     }
+    if (request.Path() == "/control/crash") {
+      this->SetCrashPath(request.body);
+      exchange.Reply({200, {}, "ok\n"});
+      return;
+    }
     const std::string expected =
         http::HeaderOf(request.headers, "x-expect-instance");
     if (!expected.empty() && expected != this->id) {
@@ -54,7 +59,8 @@
     const bool is_stream = request.Path().rfind("/stream/", 0) == 0;
     const std::string parts = http::HeaderOf(request.headers, kPartsField);
     const bool crashes = parts.find("dead") != std::string::npos ||
-                         request.body.find("CRASH") != std::string::npos;
+                         request.body.find("CRASH") != std::string::npos ||
+                         request.Path() == this->CrashPath();
     http::Headers headers = {
         {kIdField, http::HeaderOf(request.headers, kIdField)},
         {kStampField, this->id}};
@@ -85,6 +91,14 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->limit = text;
   }
+  void SetCrashPath(const std::string& path) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->crash_path = path;
+  }
+  std::string CrashPath() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->crash_path;
+  }
   std::string Limit() {
     const std::lock_guard<std::mutex> lock(this->mutex);
     return this->limit;
@@ -104,6 +118,7 @@
   std::mutex mutex;  ///< Guards all members below.
   /// Requests a second that each response names as the limit, or "".
   std::string limit;
+  std::string crash_path;  ///< Path whose requests end the process, or "".
   std::map<std::string, int> executions;
 };
 
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -40,7 +40,8 @@
 /// with its id. It serves the number of executions by request id under
 /// /control/executions. A request whose body contains CRASH, or with a prompt
 /// part whose id contains "dead", ends the process after the beginning of the
-/// response. PUT /control/limit sets the requests a second that its responses
+/// response; so does one for the path set by PUT /control/crash. PUT
+/// /control/limit sets the requests a second that its responses
 /// name as the limit of all callers together; an empty body ends the limit.
 /// @param id instance id in the list of endpoints.
 std::shared_ptr<http::IHttpHandler> MakeServer(const std::string& id);
