Judge work by what happens after its first crash, and count a mass crash once

Cause: one score, crashes less the survivals of the last 10 to 20 s. Survivals from before the first crash outweighed crashes that came after them, the more the more popular the work was; and they were known to the gateway that had seen them only, so that the same work looked rare with many gateways. Three crashes in one instant weighed as much as three in a row. Change: WorkRecord gives each crash a generation, higher than those of earlier crashes known when its attempt was sent. Three generations without a survival in between quarantine the work. A survival clears the crashes that were known when its attempt was sent, and gateways exchange that generation, a maximum; nothing from before the first crash counts. Begun attempts count from the first crash on too; earlier ones only choose between keys that share crashes. Assertions: spares_work_of_which_some_was_sound_at_each_gateway demanded the faulty rule (survivals from before outweigh six crashes); it becomes spares_work_of_several_gateways_that_one_event_ended, with the same crashes at the same moment, and counts_no_survivals_from_before_the_first_crash, which demands the opposite for crashes in a row. All others stand, with the time of sending added.

--- a/src/direct/internal/crash_monitor.cc
+++ b/src/direct/internal/crash_monitor.cc
@@ -23,11 +23,11 @@
 
 void CrashMonitor::OnConnectionLost(const EndpointChoice& endpoint,
                                     const Keys& keys,
-                                    kernel::TimePoint /*now*/) {
+                                    const evidence::LostAttempt& attempt) {
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    std::vector<Keys>& waiting = this->pending[endpoint.id];
-    waiting.push_back(keys);
+    std::vector<PendingAttempt>& waiting = this->pending[endpoint.id];
+    waiting.push_back({keys, attempt});
     if (waiting.size() > 1) return;
   }
   this->runtime->CheckConnection(
@@ -41,7 +41,7 @@
 void CrashMonitor::OnChecked(const EndpointChoice& endpoint,
                              http::ConnectionCheck result,
                              kernel::TimePoint now) {
-  std::vector<Keys> attempts;
+  std::vector<PendingAttempt> attempts;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     attempts.swap(this->pending[endpoint.id]);
@@ -55,17 +55,19 @@
                    {{"endpoint", crash},
                     {"address", endpoint.address},
                     {"attempts", std::to_string(attempts.size())}});
-  for (const Keys& keys : attempts)
-    this->Send(this->evidence.RecordCrash(keys, crash, now));
+  for (const auto& [keys, attempt] : attempts)
+    this->Send(this->evidence.RecordCrash(keys, crash, attempt, now));
   this->LogChanges();
 }
 
-void CrashMonitor::OnBegun(const Keys& keys, kernel::TimePoint now) {
-  this->Send(this->evidence.RecordBegun(keys, now));
+void CrashMonitor::OnBegun(const Keys& keys, kernel::TimePoint sent_at,
+                           kernel::TimePoint now) {
+  this->Send(this->evidence.RecordBegun(keys, sent_at, now));
 }
 
-void CrashMonitor::OnSurvived(const Keys& keys, kernel::TimePoint now) {
-  this->Send(this->evidence.RecordSurvival(keys, now));
+void CrashMonitor::OnSurvived(const Keys& keys, kernel::TimePoint sent_at,
+                              kernel::TimePoint now) {
+  this->Send(this->evidence.RecordSurvival(keys, sent_at, now));
   this->LogChanges();
 }
 
--- a/src/direct/internal/crash_monitor.h
+++ b/src/direct/internal/crash_monitor.h
@@ -39,11 +39,15 @@
   /// Processes the end of a connection before the response was complete.
   /// @param keys keys of the attempt's work.
   void OnConnectionLost(const EndpointChoice& endpoint, const Keys& keys,
-                        kernel::TimePoint now);
+                        const evidence::LostAttempt& attempt);
   /// Processes the beginning of an endpoint's response.
-  void OnBegun(const Keys& keys, kernel::TimePoint now);
+  /// @param sent_at when the attempt was sent.
+  void OnBegun(const Keys& keys, kernel::TimePoint sent_at,
+               kernel::TimePoint now);
   /// Processes an attempt that its endpoint has survived.
-  void OnSurvived(const Keys& keys, kernel::TimePoint now);
+  /// @param sent_at when the attempt was sent.
+  void OnSurvived(const Keys& keys, kernel::TimePoint sent_at,
+                  kernel::TimePoint now);
   void Expire(kernel::TimePoint now) { this->evidence.Expire(now); }
 
   void OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) override;
@@ -52,6 +56,11 @@
   void OnLinkDown(const link::LinkPtr& link, kernel::TimePoint now) override;
 
  private:
+  struct PendingAttempt {
+    Keys keys;
+    evidence::LostAttempt attempt;
+  };
+
   void OnChecked(const EndpointChoice& endpoint, http::ConnectionCheck result,
                  kernel::TimePoint now);
   bool MustForward(kernel::TimePoint now);
@@ -64,8 +73,8 @@
   std::function<std::size_t(kernel::TimePoint)> count_gateways;
   evidence::CrashAttribution evidence;
   std::mutex mutex;  ///< Guards the members below.
-  /// Keys of the attempts whose endpoint is being checked, by its id.
-  std::map<std::string, std::vector<Keys>> pending;
+  /// Attempts whose endpoint is being checked, by its id.
+  std::map<std::string, std::vector<PendingAttempt>> pending;
   std::map<std::uint64_t, link::LinkPtr> links;  ///< Links to gateways.
 };
 
--- a/src/direct/internal/direct_actions.h
+++ b/src/direct/internal/direct_actions.h
@@ -8,6 +8,7 @@
 
 #include "direct/i_caller_protocol.h"
 #include "direct/internal/endpoint_pool.h"
+#include "evidence/crash_attribution.h"
 #include "kernel/event_log.h"
 
 namespace banyanlane::direct {
@@ -36,13 +37,18 @@
 /// to survive it.
 struct ReportLostConnection {
   EndpointChoice endpoint;
+  evidence::LostAttempt attempt;
 };
 
 /// Reports that the endpoint began to respond to an attempt at the request.
-struct ReportBegun {};
+struct ReportBegun {
+  kernel::TimePoint sent_at;  ///< When the attempt was sent.
+};
 
 /// Reports that the endpoint survived an attempt at the request.
-struct ReportSurvival {};
+struct ReportSurvival {
+  kernel::TimePoint sent_at;  ///< When the attempt was sent.
+};
 
 /// Reports the rate limit that an endpoint's response names, or that it names
 /// none.
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -58,12 +58,13 @@
 void DirectFlow::ReportEndpointSurvived() {
   if (this->attempt_survived) return;
   this->attempt_survived = true;
-  this->actions.push_back(ReportSurvival{});
+  this->actions.push_back(ReportSurvival{this->attempt_began_at});
 }
 
-void DirectFlow::ReportConnectionLost() {
+void DirectFlow::ReportConnectionLost(kernel::TimePoint now) {
   if (this->attempt_survived || !this->endpoint) return;
-  this->actions.push_back(ReportLostConnection{*this->endpoint});
+  this->actions.push_back(
+      ReportLostConnection{*this->endpoint, {this->attempt_began_at, now}});
 }
 
 void DirectFlow::SendOrWait(kernel::TimePoint now) {
@@ -202,7 +203,7 @@
                                    kernel::TimePoint now) {
   if (!this->IsCurrent(number)) return {};
   if (state == http::SendState::kMaybeSent) {
-    this->ReportConnectionLost();
+    this->ReportConnectionLost(now);
     this->Release(AttemptResult::kBroken);
     this->OnResponseLost(AttemptResult::kBroken, now);
     return this->TakeActions();
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -114,7 +114,7 @@
   /// Reports that the endpoint of the current attempt has survived it.
   void ReportEndpointSurvived();
   /// Reports the end of the current attempt's connection.
-  void ReportConnectionLost();
+  void ReportConnectionLost(kernel::TimePoint now);
   /// Begins an attempt at an endpoint that has capacity.
   /// @return false if there is none.
   bool Send(kernel::TimePoint now);
--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -101,7 +101,7 @@
   if (!this->attempt_has_events) {
     this->attempt_has_events = true;
     this->first_event_at = now;
-    this->actions.push_back(ReportBegun{});
+    this->actions.push_back(ReportBegun{this->attempt_began_at});
     this->context.pool.OnFirstEvent(*this->endpoint,
                                     std::chrono::duration_cast<kernel::Millis>(
                                         now - this->attempt_began_at));
@@ -142,7 +142,7 @@
   const bool is_empty_stream =
       !this->head_sent && !this->request.last_event_id.has_value();
   if (this->splitter.HasPartialEvent() || is_empty_stream) {
-    this->ReportConnectionLost();
+    this->ReportConnectionLost(now);
     this->Release(AttemptResult::kBroken);
     this->OnResponseLost(AttemptResult::kBroken, now);
     return;
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -151,17 +151,17 @@
 
 void DirectRunner::RunAction(const ReportLostConnection& action) {
   this->environment.crashes->OnConnectionLost(
-      action.endpoint, this->direct_request().work_keys, kernel::Clock::now());
+      action.endpoint, this->direct_request().work_keys, action.attempt);
 }
 
-void DirectRunner::RunAction(const ReportBegun& /*action*/) {
+void DirectRunner::RunAction(const ReportBegun& action) {
   this->environment.crashes->OnBegun(this->direct_request().work_keys,
-                                     kernel::Clock::now());
+                                     action.sent_at, kernel::Clock::now());
 }
 
-void DirectRunner::RunAction(const ReportSurvival& /*action*/) {
+void DirectRunner::RunAction(const ReportSurvival& action) {
   this->environment.crashes->OnSurvived(this->direct_request().work_keys,
-                                        kernel::Clock::now());
+                                        action.sent_at, kernel::Clock::now());
 }
 
 void DirectRunner::RunAction(const ReportRateLimit& action) {
--- a/src/direct/tests/crash_flow_test.cc
+++ b/src/direct/tests/crash_flow_test.cc
@@ -15,8 +15,11 @@
 
 /// Records as many crashes of the work as quarantine it.
 void Quarantine(FlowHarness& harness) {
-  for (const char* crash : {"c1", "c2", "c3"})
-    harness.attribution.RecordCrash({kWork}, crash, kStart);
+  TimePoint sent_at = kStart - Millis(1'000);
+  for (const char* crash : {"c1", "c2", "c3"}) {
+    sent_at += Millis(200);
+    harness.attribution.RecordCrash({kWork}, crash, {sent_at, sent_at}, kStart);
+  }
 }
 
 std::string EventOf(int id) {
--- a/src/direct/tests/crash_monitor_test.cc
+++ b/src/direct/tests/crash_monitor_test.cc
@@ -41,8 +41,8 @@
   /// Lets a report arrive over the link to the first gateway.
   void Receive(const std::string& crash) {
     this->monitor->OnMessage(
-        this->first, link::WorkReport{"work", "other", {crash}, 0, 0, 1'000},
-        kNow);
+        this->first,
+        link::WorkReport{"work", "other", {crash}, {1}, 0, 0, 1'000}, kNow);
   }
 
   std::shared_ptr<CountingLink> first =
@@ -73,7 +73,7 @@
 Test(crash_monitor, sends_nothing_to_rank_agents) {
   Harness harness(3);
   harness.Receive("c1");
-  harness.monitor->OnSurvived({"work"}, kNow);
+  harness.monitor->OnSurvived({"work"}, kNow, kNow);
   cr_assert_eq(harness.first->reports, 1);
   cr_assert_eq(harness.rank->reports, 0);
 }
--- a/src/evidence/internal/crash_attribution.cc
+++ b/src/evidence/internal/crash_attribution.cc
@@ -7,8 +7,8 @@
 namespace banyanlane::evidence {
 namespace {
 
-/// Survivals up to this number are all reported, further ones only when their
-/// number has doubled.
+/// Begun attempts up to this number are all reported, further ones only when
+/// their number has doubled.
 constexpr std::uint64_t kAlwaysReported = 4;
 
 /// Maximum number of doublings of a quarantine, so that the shift can't
@@ -20,12 +20,6 @@
   return count <= kAlwaysReported || is_power_of_two;
 }
 
-std::int64_t Total(const std::map<std::string, std::uint64_t>& counts) {
-  std::uint64_t total = 0;
-  for (const auto& entry : counts) total += entry.second;
-  return static_cast<std::int64_t>(total);
-}
-
 }  // namespace
 
 std::optional<kernel::TimePoint> CrashAttribution::QuarantinedUntil(
@@ -53,27 +47,23 @@
   return is_probe;
 }
 
-WorkCounts CrashAttribution::RecentCounts(const std::string& key) const {
-  WorkCounts sum;
-  for (const CountsByKey* window : {&this->counts, &this->previous_counts}) {
-    const auto found = window->find(key);
-    if (found == window->end()) continue;
-    sum.begun += found->second.begun;
-    sum.survivals += found->second.survivals;
-  }
-  return sum;
-}
-
-WorkCounts* CrashAttribution::CountsWithoutRecord(const std::string& key) {
+void CrashAttribution::CountBegun(const std::string& key) {
   const auto found = this->counts.find(key);
-  if (found != this->counts.end()) return &found->second;
-  if (this->counts.size() >= this->limits.max_records) return nullptr;
-  return &this->counts[key];
+  if (found != this->counts.end()) {
+    ++found->second;
+    return;
+  }
+  if (this->counts.size() < this->limits.max_records) this->counts[key] = 1;
 }
 
-WorkCounts CrashAttribution::RecentCounts(const Record& record) {
-  return {Total(record.begun) - record.previous_window_start.begun,
-          Total(record.survivals) - record.previous_window_start.survivals};
+std::int64_t CrashAttribution::BegunOf(const std::string& key,
+                                       const Record& record) const {
+  std::int64_t begun = record.work.Begun();
+  for (const CountsByKey* window : {&this->counts, &this->previous_counts}) {
+    const auto found = window->find(key);
+    if (found != window->end()) begun += found->second;
+  }
+  return begun;
 }
 
 CrashAttribution::Record* CrashAttribution::FindOrAdd(const std::string& key) {
@@ -81,32 +71,31 @@
   if (found != this->records.end()) return &found->second;
   if (this->records.size() >= this->limits.max_records) this->MakeRoom();
   if (this->records.size() >= this->limits.max_records) return nullptr;
-  Record& added = this->records[key];
-  const WorkCounts recent = this->RecentCounts(key);
-  added.begun[this->node] = static_cast<std::uint64_t>(recent.begun);
-  added.survivals[this->node] = static_cast<std::uint64_t>(recent.survivals);
-  return &added;
+  return &this->records.try_emplace(key, this->limits.event_time).first->second;
 }
 
 void CrashAttribution::MakeRoom() {
   for (auto it = this->records.begin(); it != this->records.end();) {
     const bool is_weak =
-        !it->second.is_quarantined && it->second.crashes.size() <= 1;
+        !it->second.is_quarantined && it->second.work.CrashCount() <= 1;
     it = is_weak ? this->records.erase(it) : std::next(it);
   }
 }
 
-bool CrashAttribution::AddCrash(Record& record, const std::string& crash,
+bool CrashAttribution::AddCrash(const std::string& key, Record& record,
+                                const std::string& crash,
+                                std::uint64_t generation,
+                                kernel::TimePoint known_at,
                                 kernel::TimePoint expires_at) const {
-  if (record.cleared.count(crash) > 0) return false;
-  if (this->IsExplained(record, crash)) return false;
-  if (!record.crashes.insert(crash).second) return false;
+  if (this->IsExplained(key, record, crash)) return false;
+  if (!record.work.AddCrash(crash, generation, known_at)) return false;
   record.expires_at = std::max(record.expires_at, expires_at);
   return true;
 }
 
 CrashAttribution::Reports CrashAttribution::RecordCrash(
-    const Keys& keys, const std::string& crash, kernel::TimePoint now) {
+    const Keys& keys, const std::string& crash, const LostAttempt& attempt,
+    kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   for (const std::string& key : keys) this->FindOrAdd(key);
   std::vector<std::pair<std::string, Record*>> suspects;
@@ -114,13 +103,16 @@
     const auto found = this->records.find(key);
     const bool is_added =
         found != this->records.end() &&
-        this->AddCrash(found->second, crash, now + this->limits.lifetime);
+        this->AddCrash(key, found->second, crash,
+                       found->second.work.GenerationOf(crash, attempt),
+                       attempt.lost_at, now + this->limits.lifetime);
     if (is_added) suspects.emplace_back(key, &found->second);
   }
   // The work that is begun least often explains the crash best.
   std::stable_sort(suspects.begin(), suspects.end(),
-                   [](const auto& left, const auto& right) {
-                     return BegunOf(*left.second) < BegunOf(*right.second);
+                   [this](const auto& left, const auto& right) {
+                     return this->BegunOf(left.first, *left.second) <
+                            this->BegunOf(right.first, *right.second);
                    });
   Reports reports;
   for (const auto& [key, record] : suspects) {
@@ -130,71 +122,49 @@
   return reports;
 }
 
-CrashAttribution::Reports CrashAttribution::RecordBegun(const Keys& keys,
-                                                        kernel::TimePoint now) {
+CrashAttribution::Reports CrashAttribution::RecordBegun(
+    const Keys& keys, kernel::TimePoint sent_at, kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   Reports reports;
   for (const std::string& key : keys) {
+    this->CountBegun(key);
     const auto found = this->records.find(key);
-    if (found == this->records.end()) {
-      WorkCounts* const work = this->CountsWithoutRecord(key);
-      if (work != nullptr) ++work->begun;
-      continue;
-    }
-    const std::uint64_t count = ++found->second.begun[this->node];
-    if (IsReported(count))
+    if (found == this->records.end()) continue;
+    const auto count = found->second.work.CountBegun(this->node, sent_at);
+    if (count && IsReported(*count))
       reports.push_back(this->ToReport(key, found->second, now));
   }
   return reports;
 }
 
-std::int64_t CrashAttribution::BegunOf(const Record& record) {
-  return RecentCounts(record).begun;
-}
-
-bool CrashAttribution::IsExplained(const Record& record,
+bool CrashAttribution::IsExplained(const std::string& key, const Record& record,
                                    const std::string& crash) const {
   const auto found = this->explained.find(crash);
   return found != this->explained.end() &&
-         BegunOf(record) > found->second.begun;
+         this->BegunOf(key, record) > found->second.begun;
 }
 
-void CrashAttribution::Explain(const Record& culprit) {
-  const std::int64_t begun = BegunOf(culprit);
-  for (const std::string& crash : culprit.crashes) {
+void CrashAttribution::Explain(const std::string& culprit_key,
+                               const Record& culprit) {
+  const std::int64_t begun = this->BegunOf(culprit_key, culprit);
+  for (const std::string& crash : culprit.work.Crashes()) {
     this->explained.emplace(crash, ExplainedCrash{begun, culprit.expires_at});
     for (auto& [key, record] : this->records) {
-      const bool is_explained =
-          BegunOf(record) > begun && record.crashes.erase(crash) > 0;
-      if (is_explained) record.cleared.insert(crash);
+      if (this->BegunOf(key, record) > begun) record.work.RemoveCrash(crash);
     }
   }
 }
 
 CrashAttribution::Reports CrashAttribution::RecordSurvival(
-    const Keys& keys, kernel::TimePoint now) {
+    const Keys& keys, kernel::TimePoint sent_at, kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   Reports reports;
   for (const std::string& key : keys) {
     const auto found = this->records.find(key);
-    if (found == this->records.end()) {
-      WorkCounts* const work = this->CountsWithoutRecord(key);
-      if (work != nullptr) ++work->survivals;
-      continue;
-    }
-    Record& record = found->second;
-    // While work is quarantined, only probes and attempts that began before
-    // run. One that survives clears the work.
-    const std::uint64_t weight =
-        record.is_quarantined
-            ? static_cast<std::uint64_t>(std::max<std::int64_t>(
-                  1, ScoreOf(record) + this->limits.excess))
-            : 1;
-    std::uint64_t& count = record.survivals[this->node];
-    count += weight;
-    this->JudgeSurvival(key, record);
-    if (weight > 1 || IsReported(count))
-      reports.push_back(this->ToReport(key, found->second, now));
+    if (found == this->records.end()) continue;
+    if (!found->second.work.ClearKnownAt(sent_at)) continue;
+    this->JudgeSurvival(key, found->second);
+    reports.push_back(this->ToReport(key, found->second, now));
   }
   return reports;
 }
@@ -202,28 +172,24 @@
 bool CrashAttribution::Merge(const link::WorkReport& report,
                              kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  if (report.node == this->node) return false;
+  const bool is_valid = report.generations.size() == report.crashes.size();
+  if (report.node == this->node || !is_valid) return false;
   Record* const record = this->FindOrAdd(report.key);
   if (record == nullptr) return false;
-  const auto remaining =
-      std::min(this->limits.lifetime, kernel::Millis(report.lifetime_ms));
-  std::uint64_t& known = record->survivals[report.node];
-  const bool has_survivals = report.survivals > known;
-  known = std::max(known, report.survivals);
-  std::uint64_t& begun = record->begun[report.node];
-  const bool has_begun = report.begun > begun;
-  begun = std::max(begun, report.begun);
+  const auto expires_at =
+      now + std::min(this->limits.lifetime, kernel::Millis(report.lifetime_ms));
+  const bool has_cleared = record->work.ClearThrough(report.cleared_through);
+  if (has_cleared)
+    record->expires_at = std::max(record->expires_at, expires_at);
   bool has_crashes = false;
-  for (const std::string& crash : report.crashes)
-    has_crashes |= this->AddCrash(*record, crash, now + remaining);
-  if (has_survivals) this->JudgeSurvival(report.key, *record);
+  for (std::size_t i = 0; i < report.crashes.size(); ++i) {
+    has_crashes |= this->AddCrash(report.key, *record, report.crashes[i],
+                                  report.generations[i], now, expires_at);
+  }
+  const bool has_begun = record->work.MergeBegun(report.node, report.begun);
+  if (has_cleared) this->JudgeSurvival(report.key, *record);
   if (has_crashes) this->JudgeCrash(report.key, *record, now);
-  return has_survivals || has_begun || has_crashes;
-}
-
-std::int64_t CrashAttribution::ScoreOf(const Record& record) {
-  return static_cast<std::int64_t>(record.crashes.size()) -
-         RecentCounts(record).survivals;
+  return has_cleared || has_begun || has_crashes;
 }
 
 kernel::Millis CrashAttribution::QuarantineTime(const std::string& key,
@@ -239,35 +205,32 @@
 
 void CrashAttribution::JudgeCrash(const std::string& key, Record& record,
                                   kernel::TimePoint now) {
-  if (ScoreOf(record) < this->limits.excess) return;
-  const auto crashes = static_cast<std::int64_t>(record.crashes.size());
-  if (BegunOf(record) > crashes * this->limits.begun_per_crash) return;
+  if (record.work.Streak() < this->limits.max_streak) return;
+  const auto crashes = static_cast<std::int64_t>(record.work.CrashCount());
+  if (record.work.Begun() > crashes * this->limits.begun_per_crash) return;
   record.quarantined_until = now + this->QuarantineTime(key, record);
   ++record.quarantines;
   this->SetQuarantined(key, record, true);
-  this->Explain(record);
+  this->Explain(key, record);
 }
 
 void CrashAttribution::JudgeSurvival(const std::string& key, Record& record) {
-  const std::int64_t score = ScoreOf(record);
-  if (score <= 0) this->SetQuarantined(key, record, false);
-  if (score > -this->limits.excess) return;
-  record.cleared.insert(record.crashes.begin(), record.crashes.end());
-  record.crashes.clear();
+  if (record.work.Streak() < this->limits.max_streak)
+    this->SetQuarantined(key, record, false);
 }
 
 void CrashAttribution::SetQuarantined(const std::string& key, Record& record,
                                       bool quarantined) {
   if (record.is_quarantined == quarantined) return;
   record.is_quarantined = quarantined;
-  this->changes.push_back({key, quarantined, record.crashes.size()});
+  this->changes.push_back({key, quarantined, record.work.CrashCount()});
 }
 
 CrashAttribution::Reports CrashAttribution::All(kernel::TimePoint now) const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   Reports reports;
   for (const auto& [key, record] : this->records) {
-    if (record.expires_at > now && !record.crashes.empty())
+    if (record.expires_at > now && record.work.CrashCount() > 0)
       reports.push_back(this->ToReport(key, record, now));
   }
   return reports;
@@ -290,11 +253,6 @@
   this->window_began_at = now;
   this->previous_counts.swap(this->counts);
   this->counts.clear();
-  for (auto& entry : this->records) {
-    Record& record = entry.second;
-    record.previous_window_start = record.window_start;
-    record.window_start = {Total(record.begun), Total(record.survivals)};
-  }
 }
 
 std::vector<CrashAttribution::Change> CrashAttribution::TakeChanges() {
@@ -310,11 +268,7 @@
   link::WorkReport report;
   report.key = key;
   report.node = this->node;
-  report.crashes.assign(record.crashes.begin(), record.crashes.end());
-  const auto own = record.survivals.find(this->node);
-  report.survivals = own == record.survivals.end() ? 0 : own->second;
-  const auto own_begun = record.begun.find(this->node);
-  report.begun = own_begun == record.begun.end() ? 0 : own_begun->second;
+  record.work.WriteTo(report, this->node);
   report.lifetime_ms = static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, kernel::MillisBetween(now, record.expires_at)));
   return report;
--- a/src/evidence/tests/crash_attribution_test.cc
+++ b/src/evidence/tests/crash_attribution_test.cc
@@ -14,8 +14,16 @@
 
 constexpr TimePoint kNow = TimePoint{} + std::chrono::hours(1);
 
+/// Limits with which two crashes belong to one event only if both attempts were
+/// sent before it.
+AttributionLimits LimitsWithoutEventTime() {
+  AttributionLimits limits;
+  limits.event_time = Millis(0);
+  return limits;
+}
+
 CrashAttribution Gateway(const std::string& node = "g1") {
-  return {node, AttributionLimits{}};
+  return {node, LimitsWithoutEventTime()};
 }
 
 bool IsQuarantined(const CrashAttribution& gateway, const std::string& key,
@@ -27,6 +35,21 @@
   for (const link::WorkReport& report : reports) to.Merge(report, kNow);
 }
 
+/// Records a crash that ended an attempt sent after all crashes known by now.
+CrashAttribution::Reports Crash(CrashAttribution& gateway,
+                                const CrashAttribution::Keys& keys,
+                                const std::string& crash,
+                                TimePoint now = kNow) {
+  return gateway.RecordCrash(keys, crash, {now, now}, now);
+}
+
+/// Records a crash that ended an attempt sent before any other crash.
+CrashAttribution::Reports CrashAtOnce(CrashAttribution& gateway,
+                                      const CrashAttribution::Keys& keys,
+                                      const std::string& crash) {
+  return gateway.RecordCrash(keys, crash, {kNow - Millis(1), kNow}, kNow);
+}
+
 /// Lets the windows pass in which attempts are counted.
 void Forget(CrashAttribution& gateway) {
   gateway.Expire(kNow + AttributionLimits{}.memory);
@@ -37,11 +60,11 @@
 
 Test(crash_attribution, quarantines_work_from_its_third_crash) {
   CrashAttribution gateway = Gateway();
-  gateway.RecordCrash({"work"}, "c1", kNow);
-  gateway.RecordCrash({"work"}, "c2", kNow);
-  gateway.RecordCrash({"work"}, "c2", kNow);
+  Crash(gateway, {"work"}, "c1");
+  Crash(gateway, {"work"}, "c2");
+  Crash(gateway, {"work"}, "c2");
   cr_assert_not(IsQuarantined(gateway, "work"), "the same crash counts once");
-  gateway.RecordCrash({"work"}, "c3", kNow);
+  Crash(gateway, {"work"}, "c3");
   cr_assert(IsQuarantined(gateway, "work"));
   cr_assert_not(IsQuarantined(gateway, "other"));
   const auto changes = gateway.TakeChanges();
@@ -52,12 +75,12 @@
 Test(crash_attribution, adds_up_the_crashes_that_several_gateways_saw) {
   CrashAttribution first = Gateway("g1");
   CrashAttribution second = Gateway("g2");
-  Send(first.RecordCrash({"work"}, "c1", kNow), second);
-  Send(first.RecordCrash({"work"}, "c2", kNow), second);
+  Send(Crash(first, {"work"}, "c1"), second);
+  Send(Crash(first, {"work"}, "c2"), second);
   // Both had an attempt at the endpoint of the second crash.
-  Send(second.RecordCrash({"work"}, "c2", kNow), first);
+  Send(Crash(second, {"work"}, "c2"), first);
   cr_assert_not(IsQuarantined(first, "work"));
-  Send(second.RecordCrash({"work"}, "c3", kNow), first);
+  Send(Crash(second, {"work"}, "c3"), first);
   cr_assert(IsQuarantined(first, "work"));
   cr_assert(IsQuarantined(second, "work"));
 }
@@ -65,35 +88,33 @@
 Test(crash_attribution, spares_work_that_endpoints_survive_between_crashes) {
   CrashAttribution gateway = Gateway();
   for (int i = 0; i < 50; ++i) {
-    gateway.RecordCrash({"work"}, "c" + std::to_string(i), kNow);
+    Crash(gateway, {"work"}, "c" + std::to_string(i));
     cr_assert_not(IsQuarantined(gateway, "work"), "crash %d", i);
-    gateway.RecordSurvival({"work"}, kNow);
+    gateway.RecordSurvival({"work"}, kNow, kNow);
   }
 }
 
 Test(crash_attribution, still_quarantines_work_that_was_sound_until_recently) {
   CrashAttribution gateway = Gateway();
-  gateway.RecordCrash({"work"}, "c0", kNow);
+  Crash(gateway, {"work"}, "c0");
   for (int i = 0; i < 1'000; ++i) {
-    gateway.RecordBegun({"work"}, kNow);
-    gateway.RecordSurvival({"work"}, kNow);
+    gateway.RecordBegun({"work"}, kNow, kNow);
+    gateway.RecordSurvival({"work"}, kNow, kNow);
   }
   Forget(gateway);
-  for (const char* crash : {"c1", "c2", "c3"})
-    gateway.RecordCrash({"work"}, crash, kNow);
+  for (const char* crash : {"c1", "c2", "c3"}) Crash(gateway, {"work"}, crash);
   cr_assert(IsQuarantined(gateway, "work"));
 }
 
 Test(crash_attribution, ignores_late_reports_of_crashes_that_were_cleared) {
   CrashAttribution slow = Gateway("slow");
   std::vector<link::WorkReport> late;
-  for (const char* crash : {"c1", "c2"})
-    late = slow.RecordCrash({"work"}, crash, kNow);
+  for (const char* crash : {"c1", "c2"}) late = Crash(slow, {"work"}, crash);
   CrashAttribution gateway = Gateway();
   Send(late, gateway);
-  for (int i = 0; i < 5; ++i) gateway.RecordSurvival({"work"}, kNow);
+  for (int i = 0; i < 5; ++i) gateway.RecordSurvival({"work"}, kNow, kNow);
   Send(late, gateway);
-  gateway.RecordCrash({"work"}, "c3", kNow);
+  Crash(gateway, {"work"}, "c3");
   cr_assert_not(IsQuarantined(gateway, "work"));
 }
 
@@ -101,18 +122,17 @@
   CrashAttribution first = Gateway("g1");
   CrashAttribution second = Gateway("g2");
   for (const char* crash : {"c1", "c2", "c3"})
-    Send(first.RecordCrash({"work"}, crash, kNow), second);
+    Send(Crash(first, {"work"}, crash), second);
   cr_assert(IsQuarantined(first, "work"));
   for (int i = 0; i < 3; ++i)
-    Send(second.RecordSurvival({"work"}, kNow), first);
+    Send(second.RecordSurvival({"work"}, kNow, kNow), first);
   cr_assert_not(IsQuarantined(first, "work"));
   cr_assert_not(IsQuarantined(second, "work"));
 }
 
 Test(crash_attribution, tells_a_gateway_that_connects_later) {
   CrashAttribution gateway = Gateway();
-  for (const char* crash : {"c1", "c2", "c3"})
-    gateway.RecordCrash({"work"}, crash, kNow);
+  for (const char* crash : {"c1", "c2", "c3"}) Crash(gateway, {"work"}, crash);
   CrashAttribution later = Gateway("g9");
   Send(gateway.All(kNow), later);
   cr_assert(IsQuarantined(later, "work"));
@@ -120,8 +140,7 @@
 
 Test(crash_attribution, forgets_evidence_after_its_lifetime) {
   CrashAttribution gateway = Gateway();
-  for (const char* crash : {"c1", "c2", "c3"})
-    gateway.RecordCrash({"work"}, crash, kNow);
+  for (const char* crash : {"c1", "c2", "c3"}) Crash(gateway, {"work"}, crash);
   const TimePoint end = kNow + AttributionLimits{}.lifetime;
   gateway.Expire(end - Millis(1));
   cr_assert_eq(gateway.All(kNow).size(), 1);
@@ -139,7 +158,7 @@
     std::deque<link::WorkReport> links[kGateways][kGateways];
     for (int i = 0; i < kGateways; ++i) {
       gateways.push_back(std::make_unique<CrashAttribution>(
-          "g" + std::to_string(i), AttributionLimits{}));
+          "g" + std::to_string(i), LimitsWithoutEventTime()));
     }
     const auto deliver = [&](int from, int to) {
       auto& link = links[from][to];
@@ -155,11 +174,10 @@
     for (int i = 0; i < 12; ++i) {
       const auto crash = "c" + std::to_string(i);
       const int observer = static_cast<int>(random() % kGateways);
-      send(observer,
-           gateways[observer]->RecordCrash({"poison", "sound"}, crash, kNow));
+      send(observer, Crash(*gateways[observer], {"poison", "sound"}, crash));
       for (int k = 0; k < 8; ++k) {
         const int other = static_cast<int>(random() % kGateways);
-        send(other, gateways[other]->RecordSurvival({"sound"}, kNow));
+        send(other, gateways[other]->RecordSurvival({"sound"}, kNow, kNow));
         for (int n = 0; n < 4; ++n)
           deliver(static_cast<int>(random() % kGateways),
                   static_cast<int>(random() % kGateways));
@@ -182,49 +200,85 @@
   int crashes = 0;
   for (int round = 0; round < 4; ++round) {
     for (int i = 0; i < 30; ++i) {
-      gateway.RecordBegun({"popular"}, kNow);
-      gateway.RecordSurvival({"popular"}, kNow);
+      gateway.RecordBegun({"popular"}, kNow, kNow);
+      gateway.RecordSurvival({"popular"}, kNow, kNow);
     }
     for (int i = 0; i < 16; ++i) {
-      gateway.RecordCrash({"popular"}, "c" + std::to_string(++crashes), kNow);
+      CrashAtOnce(gateway, {"popular"}, "c" + std::to_string(++crashes));
       cr_assert_not(IsQuarantined(gateway, "popular"), "crash %d", crashes);
     }
     Forget(gateway);
   }
 }
 
-Test(crash_attribution, spares_work_of_which_some_was_sound_at_each_gateway) {
+Test(crash_attribution, spares_work_of_several_gateways_that_one_event_ended) {
   CrashAttribution first = Gateway("g1");
   CrashAttribution second = Gateway("g2");
-  for (int i = 0; i < 4; ++i) {
-    first.RecordSurvival({"work"}, kNow);
-    second.RecordSurvival({"work"}, kNow);
-  }
   for (const char* crash : {"c1", "c2", "c3"})
-    Send(first.RecordCrash({"work"}, crash, kNow), second);
+    Send(CrashAtOnce(first, {"work"}, crash), second);
   for (const char* crash : {"c4", "c5", "c6"})
-    Send(second.RecordCrash({"work"}, crash, kNow), first);
+    Send(CrashAtOnce(second, {"work"}, crash), first);
   cr_assert_not(IsQuarantined(first, "work"));
   cr_assert_not(IsQuarantined(second, "work"));
 }
 
+Test(crash_attribution, counts_no_survivals_from_before_the_first_crash) {
+  CrashAttribution first = Gateway("g1");
+  CrashAttribution second = Gateway("g2");
+  for (int i = 0; i < 1'000; ++i) {
+    for (CrashAttribution* gateway : {&first, &second}) {
+      gateway->RecordBegun({"work"}, kNow, kNow);
+      gateway->RecordSurvival({"work"}, kNow, kNow);
+    }
+  }
+  for (const char* crash : {"c1", "c2", "c3"})
+    Send(Crash(first, {"work"}, crash), second);
+  cr_assert(IsQuarantined(first, "work"));
+  cr_assert(IsQuarantined(second, "work"));
+}
+
+Test(crash_attribution, takes_crashes_in_quick_succession_for_one_event) {
+  const AttributionLimits limits;
+  const auto crash_in_turn = [&limits](kernel::Millis pause) {
+    CrashAttribution gateway("g1", limits);
+    TimePoint lost_at = kNow;
+    for (int i = 0; i < 10; ++i) {
+      const TimePoint sent_at = lost_at;
+      lost_at += pause;
+      gateway.RecordCrash({"work"}, "c" + std::to_string(i), {sent_at, lost_at},
+                          lost_at);
+    }
+    return IsQuarantined(gateway, "work");
+  };
+  cr_assert_not(crash_in_turn(limits.event_time / 10));
+  cr_assert(crash_in_turn(limits.event_time));
+}
+
+Test(crash_attribution, is_not_cleared_by_an_attempt_sent_before_the_crashes) {
+  CrashAttribution gateway = Gateway();
+  for (const char* crash : {"c1", "c2", "c3"}) {
+    Crash(gateway, {"work"}, crash);
+    gateway.RecordSurvival({"work"}, kNow - Millis(1), kNow);
+  }
+  cr_assert(IsQuarantined(gateway, "work"));
+}
+
 Test(crash_attribution, tries_quarantined_work_again_one_attempt_at_a_time) {
   CrashAttribution gateway = Gateway();
-  for (const char* crash : {"c1", "c2", "c3"})
-    gateway.RecordCrash({"work"}, crash, kNow);
+  for (const char* crash : {"c1", "c2", "c3"}) Crash(gateway, {"work"}, crash);
   const TimePoint end = *gateway.QuarantinedUntil({"work"}, kNow);
   cr_assert_geq((end - kNow).count(),
                 TimePoint::duration(AttributionLimits{}.quarantine).count());
   cr_assert_not(IsQuarantined(gateway, "work", end));
   cr_assert(gateway.TryProbe({"work"}, end));
   cr_assert(IsQuarantined(gateway, "work", end), "the probe is in progress");
-  gateway.RecordCrash({"work"}, "c4", end);
+  Crash(gateway, {"work"}, "c4", end);
   const TimePoint next = *gateway.QuarantinedUntil({"work"}, end);
   cr_assert_geq(
       (next - end).count(),
       TimePoint::duration(AttributionLimits{}.quarantine * 2).count());
   cr_assert(gateway.TryProbe({"work"}, next));
-  gateway.RecordSurvival({"work"}, next);
+  gateway.RecordSurvival({"work"}, next, next);
   cr_assert_not(IsQuarantined(gateway, "work", next));
   cr_assert_not(gateway.TryProbe({"work"}, next), "the work is cleared");
 }
@@ -233,7 +287,7 @@
   CrashAttribution first = Gateway("g1");
   CrashAttribution second = Gateway("g2");
   for (const char* crash : {"c1", "c2", "c3"})
-    Send(first.RecordCrash({"work"}, crash, kNow), second);
+    Send(Crash(first, {"work"}, crash), second);
   cr_assert_neq(first.QuarantinedUntil({"work"}, kNow)->time_since_epoch(),
                 second.QuarantinedUntil({"work"}, kNow)->time_since_epoch());
 }
@@ -242,10 +296,9 @@
   CrashAttribution gateway = Gateway();
   for (int i = 0; i < 3; ++i) {
     const std::string number = std::to_string(i);
-    gateway.RecordBegun({"first", "own" + number}, kNow);
-    gateway.RecordCrash({"first", "poison", "own" + number}, "c" + number,
-                        kNow);
-    gateway.RecordSurvival({"first", "other"}, kNow);
+    gateway.RecordBegun({"first", "own" + number}, kNow, kNow);
+    Crash(gateway, {"first", "poison", "own" + number}, "c" + number);
+    gateway.RecordSurvival({"first", "other"}, kNow, kNow);
   }
   cr_assert(IsQuarantined(gateway, "poison"));
   cr_assert_not(IsQuarantined(gateway, "first"));
@@ -257,12 +310,12 @@
   CrashAttribution second = Gateway("g2");
   for (int i = 0; i < 20; ++i) {
     const std::string crash = "c" + std::to_string(i);
-    Send(first.RecordCrash({"first", "poison"}, crash, kNow), second);
+    Send(Crash(first, {"first", "poison"}, crash), second);
     // Endpoints begin to respond to sound requests, and the next crash ends
     // them.
     for (int k = 0; k < 5; ++k) {
-      Send(first.RecordBegun({"first"}, kNow), second);
-      Send(second.RecordBegun({"first"}, kNow), first);
+      Send(first.RecordBegun({"first"}, kNow, kNow), second);
+      Send(second.RecordBegun({"first"}, kNow, kNow), first);
     }
     cr_assert_not(IsQuarantined(first, "first"), "crash %d", i);
     cr_assert_not(IsQuarantined(second, "first"), "crash %d", i);
@@ -274,27 +327,26 @@
 Test(crash_attribution, explains_a_crash_by_the_part_that_is_begun_least) {
   CrashAttribution gateway = Gateway();
   for (const char* crash : {"c1", "c2", "c3"}) {
-    gateway.RecordCrash({"first", "poison"}, crash, kNow);
-    gateway.RecordBegun({"first"}, kNow);
+    Crash(gateway, {"first", "poison"}, crash);
+    gateway.RecordBegun({"first"}, kNow, kNow);
   }
   cr_assert(IsQuarantined(gateway, "poison"));
   cr_assert_not(IsQuarantined(gateway, "first"));
   // Nothing but the quarantined part explains these crashes either.
-  gateway.RecordCrash({"first", "poison"}, "c4", kNow);
+  Crash(gateway, {"first", "poison"}, "c4");
   cr_assert_not(IsQuarantined(gateway, "first"));
 }
 
 Test(crash_attribution, finds_work_that_crashes_endpoints_among_many_others) {
   CrashAttribution gateway = Gateway();
   const std::size_t bound = AttributionLimits{}.max_records;
-  for (const char* crash : {"c1", "c2"})
-    gateway.RecordCrash({"poison"}, crash, kNow);
+  for (const char* crash : {"c1", "c2"}) Crash(gateway, {"poison"}, crash);
   for (std::size_t i = 0; i < bound * 2; ++i) {
-    gateway.RecordCrash({"k" + std::to_string(i)}, "c", kNow);
+    Crash(gateway, {"k" + std::to_string(i)}, "c");
     if (i % 500 == 0) cr_assert_leq(gateway.All(kNow).size(), bound);
   }
   cr_assert_gt(gateway.All(kNow).size(), 1);
-  gateway.RecordCrash({"poison"}, "c3", kNow);
+  Crash(gateway, {"poison"}, "c3");
   cr_assert(IsQuarantined(gateway, "poison"));
 }
 
--- a/src/evidence/tests/simulated_service.cc
+++ b/src/evidence/tests/simulated_service.cc
@@ -126,10 +126,10 @@
                                return other.sent_at == request.sent_at &&
                                       other.gateway == request.gateway;
                              }));
-  this->Send(
-      request.gateway,
-      this->gateways[request.gateway]->RecordSurvival({kWork}, this->now),
-      request.gateway);
+  this->Send(request.gateway,
+             this->gateways[request.gateway]->RecordSurvival(
+                 {kWork}, request.sent_at, this->now),
+             request.gateway);
 }
 
 void SimulatedService::Crash(std::size_t number) {
@@ -141,19 +141,25 @@
   std::vector<Request> lost;
   lost.swap(endpoint.running);
   for (const Request& request : lost) {
+    this->At(this->now, [this, request] { this->Retry(request); });
     this->At(this->now + kCheckTime,
-             [this, request, crash] { this->OnLost(request, crash); });
+             [this, request, crash, lost_at = this->now] {
+               this->Report(request, crash, lost_at);
+             });
   }
   this->At(this->now + kRestartTime + this->Draw(0, kRestartSpreadMillis),
            [this, number] { this->endpoints[number].is_up = true; });
 }
 
-void SimulatedService::OnLost(const Request& request,
-                              const std::string& crash) {
-  this->Send(
-      request.gateway,
-      this->gateways[request.gateway]->RecordCrash({kWork}, crash, this->now),
-      request.gateway);
+void SimulatedService::Report(const Request& request, const std::string& crash,
+                              TimePoint lost_at) {
+  this->Send(request.gateway,
+             this->gateways[request.gateway]->RecordCrash(
+                 {kWork}, crash, {request.sent_at, lost_at}, this->now),
+             request.gateway);
+}
+
+void SimulatedService::Retry(const Request& request) {
   if (request.attempts < kMaxAttempts) {
     this->Dispatch(request);
     return;
@@ -170,7 +176,7 @@
     request.gateway = this->random() % this->gateways.size();
     request.attempts = 1;
     request.caller_attempts = 1;
-    request.sent_at = this->now;
+    request.sent_at = this->now - Millis(kMinRunMillis);
     this->endpoints[i].running.push_back(request);
     this->Crash(i);
   }
--- a/src/evidence/tests/simulated_service.h
+++ b/src/evidence/tests/simulated_service.h
@@ -58,7 +58,9 @@
   void Dispatch(Request request);
   void Finish(std::size_t endpoint, int incarnation, const Request& request);
   void Crash(std::size_t endpoint);
-  void OnLost(const Request& request, const std::string& crash);
+  void Report(const Request& request, const std::string& crash,
+              kernel::TimePoint lost_at);
+  void Retry(const Request& request);
   void Send(std::size_t gateway, const CrashAttribution::Reports& reports,
             std::size_t except);
   void Deliver(std::size_t from, std::size_t to,
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -11,7 +11,7 @@
 
 /// Version of the messages in this file. Peers with another version are
 /// refused.
-inline constexpr std::uint64_t kProtocolVersion = 3;
+inline constexpr std::uint64_t kProtocolVersion = 4;
 
 /// Outcome of one attempt at a request.
 enum class Outcome : std::uint64_t {
@@ -497,21 +497,24 @@
 struct WorkReport {
   std::string key;   ///< Key that requests with the same work share.
   std::string node;  ///< Incarnation of the gateway that made the report.
-  /// Ids of the crashes that ended attempts with this work.
+  /// Ids of the crashes that ended attempts with this work and are not cleared.
   std::vector<std::string> crashes;
-  /// Number of attempts with this work at the reporting gateway that endpoints
-  /// survived after the first crash.
-  std::uint64_t survivals = 0;
-  /// Number of attempts with this work at the reporting gateway to which
-  /// endpoints began to respond.
+  /// Generations of these crashes, in the same order; see
+  /// evidence::WorkRecord.
+  std::vector<std::uint64_t> generations;
+  /// Crashes up to this generation are cleared by an attempt that its endpoint
+  /// survived.
+  std::uint64_t cleared_through = 0;
+  /// Number of attempts with this work at the reporting gateway, sent after a
+  /// crash, to which endpoints began to respond.
   std::uint64_t begun = 0;
   /// Milliseconds until the evidence expires.
   std::uint64_t lifetime_ms = 0;
 
   template <typename Visitor>
   void Visit(Visitor& visit) {
-    visit(this->key, this->node, this->crashes, this->survivals, this->begun,
-          this->lifetime_ms);
+    visit(this->key, this->node, this->crashes, this->generations,
+          this->cleared_through, this->begun, this->lifetime_ms);
   }
 };
 
--- a/tests/processes/gateway_crash_test.cc
+++ b/tests/processes/gateway_crash_test.cc
@@ -1,4 +1,5 @@
 #include <criterion/criterion.h>
+#include <signal.h>
 
 #include "processes/gateway_fleet.h"
 
@@ -38,6 +39,14 @@
   return ended;
 }
 
+/// Returns whether each server has begun to run a request since its start.
+bool AllServersRun(GatewayFleet& fleet) {
+  for (int i = 1; i <= kServers; ++i) {
+    if (fleet.RunCount(ServerName(i)) == 0) return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 Test(gateway_crash,
@@ -88,14 +97,15 @@
   StartFleet(fleet);
   for (int round = 0; round < 4; ++round) {
     std::vector<std::shared_ptr<ResponseRecorder>> pending;
-    for (int i = 0; i < 2 * kServers; ++i) {
-      pending.push_back(
-          fleet.StartPost(i % 2 == 0 ? "g1" : "g2", "/stream/popular", "SLOW"));
-    }
-    for (int k = 1; k <= kServers; ++k) {
-      cr_assert(
-          Fleet::Await([&] { return fleet.RunCount(ServerName(k)) > 0; }));
-    }
+    cr_assert(Fleet::Await([&] {
+                const bool is_even = pending.size() % 2 == 0;
+                pending.push_back(fleet.StartPost(is_even ? "g1" : "g2",
+                                                  "/stream/popular", "SLOW"));
+                return AllServersRun(fleet);
+              }),
+              "round %d", round);
+    for (int k = 1; k <= kServers; ++k)
+      ::kill(fleet.Pid(ServerName(k)), SIGKILL);
     for (int k = 1; k <= kServers; ++k) fleet.Kill(ServerName(k));
     cr_assert_eq(RestartEnded(fleet), kServers);
     for (const char* gateway : {"g1", "g2"}) {
