--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -253,7 +253,7 @@
       WriteLogEvent{EventId::kRequestRetried,
                     {{"request", this->request.request_id},
                      {"service", this->request.service},
-                     {"after", this->endpoint ? this->endpoint->id : ""},
+                     {"after", this->last_endpoint},
                      {"sent", std::to_string(this->sent_attempts)}}});
   return true;
 }
--- a/tests/processes/gateway_fleet.cc
+++ b/tests/processes/gateway_fleet.cc
@@ -114,6 +114,22 @@
               {"PUT", "/control/limit", {}, per_second, ""}, kControlTimeout);
 }
 
+void GatewayFleet::Refuse(const std::string& server,
+                          const std::string& retry_after, bool proven) {
+  http::Fetch(this->Address(server),
+              {"PUT",
+               proven ? "/control/refuse" : "/control/refuse?unproven=1",
+               {},
+               retry_after,
+               ""},
+              kControlTimeout);
+}
+
+int GatewayFleet::ArrivalCount(const std::string& server) {
+  return std::stoi("0" +
+                   this->FetchPage(this->Address(server), "/control/arrivals"));
+}
+
 void GatewayFleet::CrashOn(const std::string& server, const std::string& path) {
   http::Fetch(this->Address(server), {"PUT", "/control/crash", {}, path, ""},
               kControlTimeout);
--- a/tests/processes/gateway_fleet.h
+++ b/tests/processes/gateway_fleet.h
@@ -39,6 +39,13 @@
   /// Lets a server name a limit in its responses.
   /// @param per_second requests a second, or "" to end the limit.
   void NameLimit(const std::string& server, const std::string& per_second);
+  /// Lets a server refuse all requests.
+  /// @param retry_after value of Retry-After, or "" to accept requests again.
+  /// @param proven whether refusals state that the request has not run.
+  void Refuse(const std::string& server, const std::string& retry_after,
+              bool proven = true);
+  /// Returns the number of requests that reached a server since its start.
+  int ArrivalCount(const std::string& server);
   /// Lets requests for `path` end a server until its process has ended.
   void CrashOn(const std::string& server, const std::string& path);
   /// Starts a gateway that is linked to those added before.
--- a/tests/standins/server_standin.cc
+++ b/tests/standins/server_standin.cc
@@ -1,8 +1,10 @@
 #include <unistd.h>
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "standins/standins.h"
 
@@ -15,7 +17,9 @@
 constexpr const char* kStampField = "x-server-stamp";
 constexpr const char* kLimitField = "server-limit";
 constexpr const char* kPartsField = "x-prefix-hash";
+constexpr const char* kRetryAfterField = "retry-after";
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 constexpr int kEvents = 5;
 constexpr kernel::Millis kEventPause{5};
 constexpr kernel::Millis kSlowEventPause{200};
@@ -38,17 +42,31 @@
       exchange.Reply({200, {}, "ok\n"});
       return;
     }
+    if (request.Path() == "/control/arrivals") {
+      exchange.Reply({200, {}, std::to_string(this->arrivals)});
+      return;
+    }
+    if (request.Path() == "/control/refuse") {
+      this->SetRefusal(request.body, !request.Query("unproven").empty());
+      exchange.Reply({200, {}, "ok\n"});
+      return;
+    }
     if (request.Path() == "/control/crash") {
       this->SetCrashPath(request.body);
       exchange.Reply({200, {}, "ok\n"});
       return;
     }
+    ++this->arrivals;
     const std::string expected =
         http::HeaderOf(request.headers, "x-expect-instance");
     if (!expected.empty() && expected != this->id) {
       exchange.Reply({kMisdirected, {{"x-not-executed", "1"}}, ""});
       return;
     }
+    if (const auto refusal = this->Refusal()) {
+      exchange.Reply(*refusal);
+      return;
+    }
     this->Count(request);
     this->Run(exchange);
   }
@@ -91,6 +109,18 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->limit = text;
   }
+  void SetRefusal(const std::string& retry_after, bool unproven) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->refusal.reset();
+    if (retry_after.empty()) return;
+    this->refusal =
+        http::HttpResponse{kUnavailable, {{kRetryAfterField, retry_after}}, ""};
+    if (!unproven) this->refusal->headers.emplace_back("x-not-executed", "1");
+  }
+  std::optional<http::HttpResponse> Refusal() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->refusal;
+  }
   void SetCrashPath(const std::string& path) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->crash_path = path;
@@ -115,9 +145,12 @@
   }
 
   const std::string id;
-  std::mutex mutex;  ///< Guards all members below.
+  std::atomic<int> arrivals{0};  ///< Requests of gateways, also refused ones.
+  std::mutex mutex;              ///< Guards all members below.
   /// Requests a second that each response names as the limit, or "".
   std::string limit;
+  /// Response to all requests, if they are refused.
+  std::optional<http::HttpResponse> refusal;
   std::string crash_path;  ///< Path whose requests end the process, or "".
   std::map<std::string, int> executions;
 };
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -43,6 +43,10 @@
 /// response; so does one for the path set by PUT /control/crash. PUT
 /// /control/limit sets the requests a second that its responses
 /// name as the limit of all callers together; an empty body ends the limit.
+/// PUT /control/refuse lets it refuse all requests with status 503 and the body
+/// as Retry-After, as not run unless the query has "unproven"; an empty body
+/// ends that. /control/arrivals returns the number of requests since the start,
+/// refused ones included.
 /// @param id instance id in the list of endpoints.
 std::shared_ptr<http::IHttpHandler> MakeServer(const std::string& id);
 
