Keep the rest that an endpoint asks a gateway for

Callers saw: refusals while other endpoints had capacity; BUDGET: 5 and 7 requests in a rest of 3 s, 2 allowed. Cause: gateways did not read Retry-After of an endpoint's 503 and left it alone for a fixed 200 ms. Event BL0504 endpoint_resting, status field resting_ms. Why it works: all ways to an endpoint go through EndpointPool::Choose, which now has the time until which it may not be chosen.

--- a/src/direct/i_caller_protocol.h
+++ b/src/direct/i_caller_protocol.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "http/http_types.h"
+#include "kernel/time.h"
 
 namespace banyanlane::direct {
 
@@ -50,6 +51,9 @@
   /// Number of requests a second that the endpoint takes from all gateways
   /// together, if it has named one.
   std::optional<double> max_requests_per_second;
+  /// Time for which the endpoint, which has turned the request away, wants no
+  /// requests from this gateway, if it has named one.
+  std::optional<kernel::Millis> rest;
   /// Id of the request that this response belongs to, or "".
   std::string request_id;
   http::Headers headers;  ///< Header fields to forward to the caller.
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -124,6 +124,13 @@
     return;
   }
   const kernel::Millis max_wait = this->MaxWait(now);
+  const auto resting_until =
+      this->context.pool.RestingUntil(service, this->tried_endpoints, now);
+  if (resting_until && *resting_until - now > max_wait) {
+    this->FailRequest("resting", this->context.limits.retry_after,
+                      this->RestLeft(now));
+    return;
+  }
   const auto expected = this->ExpectedWait(now);
   // While a service is unavailable, the recent rate of the queue does not
   // predict the rate once the service accepts requests again.
@@ -229,7 +236,8 @@
     this->SendOrWait(now);
     return;
   }
-  this->FailRequest("endpoints_full", this->RetryAfter(now));
+  this->FailRequest("endpoints_full", this->RetryAfter(now),
+                    this->RestLeft(now));
 }
 
 void DirectFlow::OnResponseLost(AttemptResult /*result*/,
@@ -263,7 +271,7 @@
   if (this->state == State::kQueued) {
     if (now < this->wait_deadline && now < this->deadline) return {};
     this->LeaveQueue(now);
-    this->FailRequest("no_room", this->RetryAfter(now));
+    this->FailRequest("no_room", this->RetryAfter(now), this->RestLeft(now));
     return this->TakeActions();
   }
   if (now >= this->deadline) {
@@ -344,8 +352,16 @@
        this->PermitWait(ahead + 1, now).value_or(kernel::Millis{0})});
 }
 
+kernel::Millis DirectFlow::RestLeft(kernel::TimePoint now) const {
+  const auto until =
+      this->context.pool.RestingUntil(this->request.service, {}, now);
+  return until ? std::chrono::ceil<kernel::Millis>(*until - now)
+               : kernel::Millis{0};
+}
+
 void DirectFlow::FailRequest(std::string_view reason,
-                             kernel::Millis retry_after) {
+                             kernel::Millis retry_after,
+                             kernel::Millis not_before) {
   if (this->head_sent) {
     // The caller has received a part of the stream, which no other response can
     // continue.
@@ -359,7 +375,7 @@
     refusal.status = reason == "timeout" ? kGatewayTimeout : kBadGateway;
   } else {
     refusal.status = kUnavailable;
-    refusal.retry_after_ms = this->Jittered(retry_after);
+    refusal.retry_after_ms = not_before.count() + this->Jittered(retry_after);
   }
   this->actions.push_back(std::move(refusal));
   this->Finish(reason);
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -134,6 +134,8 @@
 
   /// Reports the rate limit that the response head names.
   void ReportLimit();
+  /// Records the rest that the response head asks for.
+  void RecordRest(kernel::TimePoint now);
   void ProcessEvents(std::string_view data, kernel::TimePoint now);
   /// Records that complete events have arrived. Parts of events do not count,
   /// since an endpoint in trouble may send bytes that never complete one.
@@ -161,12 +163,16 @@
   /// Returns the time after which the caller may retry a request that has not
   /// run.
   kernel::Millis RetryAfter(kernel::TimePoint now) const;
+  /// Returns the time for which all endpoints of the service rest, or 0.
+  kernel::Millis RestLeft(kernel::TimePoint now) const;
   /// Ends the request without a complete response. Aborts the response if the
   /// caller has received a part of it; otherwise sends a refusal that says
   /// whether the request may have run.
   /// @param retry_after time after which the caller may retry if the request
-  /// has not run.
-  void FailRequest(std::string_view reason, kernel::Millis retry_after);
+  /// has not run. It is shortened by chance, so that callers spread.
+  /// @param not_before time that is added to it and not shortened.
+  void FailRequest(std::string_view reason, kernel::Millis retry_after,
+                   kernel::Millis not_before = kernel::Millis{0});
   void Finish(std::string_view outcome);
   std::int64_t Jittered(kernel::Millis span);
   std::int64_t MillisLeft(kernel::TimePoint now) const;
--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -32,6 +32,7 @@
     return this->TakeActions();
   }
   this->ReportLimit();
+  this->RecordRest(now);
   if (this->head.not_run || this->head.wrong_endpoint) {
     this->CancelAttempt(this->head.wrong_endpoint ? AttemptResult::kReplaced
                                                   : AttemptResult::kFull);
@@ -57,6 +58,15 @@
       ReportRateLimit{this->endpoint->id, limit, this->attempt_began_at});
 }
 
+void DirectFlow::RecordRest(kernel::TimePoint now) {
+  if (!this->head.rest || this->head.wrong_endpoint) return;
+  this->context.pool.OnRestAsked(*this->endpoint, *this->head.rest, now);
+  this->actions.push_back(
+      WriteLogEvent{kernel::EventId::kEndpointResting,
+                    {{"endpoint", this->endpoint->id},
+                     {"rest_ms", std::to_string(this->head.rest->count())}}});
+}
+
 DirectActions DirectFlow::OnData(std::uint64_t number, std::string_view data,
                                  kernel::TimePoint now) {
   if (!this->IsCurrent(number)) return {};
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -137,7 +137,9 @@
   std::vector<Candidate> remote;
   std::vector<Candidate> ejected;
   for (auto& [id, endpoint] : service.endpoints) {
-    const bool usable = IsUsable(endpoint, now) && excluded.count(id) == 0;
+    const bool usable = IsUsable(endpoint, now) && excluded.count(id) == 0 &&
+                        service.rests.MaySend(id, endpoint.instance.incarnation,
+                                              endpoint.in_flight, now);
     const auto load = usable ? this->LoadOf(endpoint, now) : std::nullopt;
     if (!load || !this->IsPermitted(id, now)) continue;
     auto& candidates = now < endpoint.ejected_until       ? ejected
@@ -207,7 +209,10 @@
   const std::lock_guard<std::mutex> lock(found->mutex);
   double rate = 0;
   for (const auto& [id, endpoint] : found->endpoints) {
-    if (!IsUsable(endpoint, now)) continue;
+    const bool is_resting =
+        found->rests.RestingUntil(id, endpoint.instance.incarnation, now)
+            .has_value();
+    if (!IsUsable(endpoint, now) || is_resting) continue;
     const auto limit = this->rate_limits->LimitOf(id, now);
     if (!limit) return std::nullopt;
     rate += *limit;
@@ -228,6 +233,31 @@
                      });
 }
 
+void EndpointPool::OnRestAsked(const EndpointChoice& choice,
+                               kernel::Millis rest, kernel::TimePoint now) {
+  const auto found = this->Find(choice.service);
+  if (!found) return;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  found->rests.OnAsked(choice.id, choice.incarnation, rest, found->random, now);
+}
+
+std::optional<kernel::TimePoint> EndpointPool::RestingUntil(
+    const std::string& service, const std::set<std::string>& excluded,
+    kernel::TimePoint now) {
+  const auto found = this->Find(service);
+  if (!found) return std::nullopt;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  std::optional<kernel::TimePoint> first;
+  for (const auto& [id, endpoint] : found->endpoints) {
+    if (!IsUsable(endpoint, now) || excluded.count(id) != 0) continue;
+    const auto until =
+        found->rests.RestingUntil(id, endpoint.instance.incarnation, now);
+    if (!until) return std::nullopt;
+    first = std::min(first.value_or(*until), *until);
+  }
+  return first;
+}
+
 bool EndpointPool::IsUnavailable(const Service& service) const {
   return service.is_stalled || service.consecutive_refusals >=
                                    this->limits.refusals_until_unavailable;
@@ -309,11 +339,16 @@
     this->OnFailure(endpoint, now);
   if (result == AttemptResult::kCompleted) {
     endpoint.consecutive_failures = 0;
+    found->rests.OnResponse(choice.id);
     CountProgress(*found, now);
   }
-  if (result == AttemptResult::kFull) this->CountRefusal(*found, now);
-  if (result == AttemptResult::kFull)
+  // A rest says nothing about the other endpoints of the service.
+  const bool is_resting =
+      found->rests.RestingUntil(choice.id, choice.incarnation, now).has_value();
+  if (result == AttemptResult::kFull && !is_resting) {
+    this->CountRefusal(*found, now);
     endpoint.full_until = now + this->limits.full_pause;
+  }
   if (result == AttemptResult::kReplaced)
     endpoint.replaced_until = now + this->limits.replaced_pause;
 }
@@ -334,6 +369,7 @@
   const auto found = this->Find(choice.service);
   if (!found) return;
   const std::lock_guard<std::mutex> lock(found->mutex);
+  found->rests.OnResponse(choice.id);
   double& mean = found->mean_first_event_ms;
   const auto millis = static_cast<double>(elapsed.count());
   mean = mean > 0 ? mean + kFirstEventWeight * (millis - mean) : millis;
@@ -396,6 +432,10 @@
                              ? this->rate_limits->LimitOf(id, now)
                              : std::nullopt;
       if (limit) add("limit", std::to_string(*limit));
+      const auto resting =
+          service->rests.RestingUntil(id, endpoint.instance.incarnation, now);
+      if (resting)
+        add("resting_ms", std::to_string(kernel::MillisBetween(now, *resting)));
       add("ejected", now < endpoint.ejected_until ? "yes" : "no");
       lines.push_back(std::move(line));
     }
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "direct/internal/endpoint_rests.h"
 #include "direct/internal/outage_estimator.h"
 #include "kernel/time.h"
 #include "limits/i_rate_limits.h"
@@ -151,6 +152,16 @@
                     const std::set<std::string>& excluded,
                     kernel::TimePoint now);
 
+  /// Records that an endpoint wants no requests from this gateway for `rest`.
+  void OnRestAsked(const EndpointChoice& choice, kernel::Millis rest,
+                   kernel::TimePoint now);
+
+  /// Returns when the first rest ends if all endpoints outside of `excluded`
+  /// that could be used have asked for one, or nothing.
+  std::optional<kernel::TimePoint> RestingUntil(
+      const std::string& service, const std::set<std::string>& excluded,
+      kernel::TimePoint now);
+
   /// Records that an endpoint has sent an event.
   void OnProgress(const EndpointChoice& choice, kernel::TimePoint now);
 
@@ -203,6 +214,7 @@
 
     std::mutex mutex;                           ///< Guards all members below.
     std::map<std::string, Endpoint> endpoints;  ///< Endpoints by id.
+    EndpointRests rests;
     std::minstd_rand random;
     /// Refusals since the last event or completed response.
     int consecutive_refusals = 0;
--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -119,6 +119,9 @@
       {EventId::kEndpointLimited, "endpoint_limited", Level::kInfo,
        "An endpoint has named a limit of requests a second for all gateways "
        "together, or ended it (0)."},
+      {EventId::kEndpointResting, "endpoint_resting", Level::kInfo,
+       "An endpoint has turned a request away and asked this gateway for a "
+       "time without requests."},
       {EventId::kWorkSuspected, "work_suspected", Level::kWarning,
        "Work was running when an endpoint was lost; from now on it runs in "
        "isolation."},
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -44,6 +44,7 @@
   kEndpointBack = 501,
   kEndpointLeaving = 502,
   kEndpointLimited = 503,
+  kEndpointResting = 504,
   kWorkSuspected = 510,
   kWorkQuarantined = 511,
   kWorkCleared = 512,
--- a/tests/processes/gateway_rest_test.cc
+++ b/tests/processes/gateway_rest_test.cc
@@ -98,7 +98,13 @@
   GatewayFleet fleet;
   StartFleet(fleet);
   for (const std::string& server : kServers) fleet.Refuse(server, "3600");
-  for (const std::string& server : kServers) AwaitRefusal(fleet, "g1", server);
+  const int first = fleet.ArrivalCount("s1");
+  const int second = fleet.ArrivalCount("s2");
+  cr_assert(Fleet::Await([&] {
+    fleet.Post("g1", "/plain/a", "");
+    return fleet.ArrivalCount("s1") > first &&
+           fleet.ArrivalCount("s2") > second;
+  }));
   const auto response = fleet.Post("g1", "/plain/a", "");
   cr_assert_eq(response.status, kUnavailable);
   constexpr double kLeast = 3'000;
