Leave an endpoint whose responses say that it leaves

Cause: gateways knew of leaving servers from the store only; the field had no reader. Change: HeaderProtocol reads it in all responses; LeavingEndpoints keeps the mark by id and start of the server, so that neither an older copy of the list nor a restored store brings it back, and a server that starts again is used. Streams in progress go on.

--- a/src/direct/i_caller_protocol.h
+++ b/src/direct/i_caller_protocol.h
@@ -51,6 +51,8 @@
   /// Number of requests a second that the endpoint takes from all gateways
   /// together, if it has named one.
   std::optional<double> max_requests_per_second;
+  /// The endpoint says that it leaves.
+  bool is_leaving = false;
   /// Time for which the endpoint, which has turned the request away, wants no
   /// requests from this gateway, if it has named one.
   std::optional<kernel::Millis> rest;
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -134,6 +134,8 @@
 
   /// Reports the rate limit that the response head names.
   void ReportLimit();
+  /// Records that the response head says that the endpoint leaves.
+  void RecordLeaving(kernel::TimePoint now);
   /// Records the rest that the response head asks for.
   void RecordRest(kernel::TimePoint now);
   void ProcessEvents(std::string_view data, kernel::TimePoint now);
--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -32,6 +32,7 @@
     return this->TakeActions();
   }
   this->ReportLimit();
+  this->RecordLeaving(now);
   this->RecordRest(now);
   if (this->head.not_run || this->head.wrong_endpoint) {
     this->CancelAttempt(this->head.wrong_endpoint ? AttemptResult::kReplaced
@@ -58,6 +59,14 @@
       ReportRateLimit{this->endpoint->id, limit, this->attempt_began_at});
 }
 
+void DirectFlow::RecordLeaving(kernel::TimePoint now) {
+  const bool is_leaving = this->head.is_leaving && !this->head.wrong_endpoint;
+  if (!is_leaving || !this->context.pool.OnLeaving(*this->endpoint, now))
+    return;
+  this->actions.push_back(WriteLogEvent{kernel::EventId::kEndpointLeaving,
+                                        {{"endpoint", this->endpoint->id}}});
+}
+
 void DirectFlow::RecordRest(kernel::TimePoint now) {
   if (!this->head.rest || this->head.wrong_endpoint) return;
   this->context.pool.OnRestAsked(*this->endpoint, *this->head.rest, now);
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -97,8 +97,11 @@
   }
 }
 
-bool EndpointPool::IsUsable(const Endpoint& endpoint, kernel::TimePoint now) {
-  return endpoint.listed && now >= endpoint.replaced_until &&
+bool EndpointPool::IsUsable(const Service& service, const Endpoint& endpoint,
+                            kernel::TimePoint now) {
+  const membership::Instance& instance = endpoint.instance;
+  return !service.leaving.Contains(instance.id, instance.incarnation) &&
+         endpoint.listed && now >= endpoint.replaced_until &&
          endpoint.instance.state == membership::InstanceState::kLive;
 }
 
@@ -137,7 +140,8 @@
   std::vector<Candidate> remote;
   std::vector<Candidate> ejected;
   for (auto& [id, endpoint] : service.endpoints) {
-    const bool usable = IsUsable(endpoint, now) && excluded.count(id) == 0 &&
+    const bool usable = IsUsable(service, endpoint, now) &&
+                        excluded.count(id) == 0 &&
                         service.rests.MaySend(id, endpoint.instance.incarnation,
                                               endpoint.in_flight, now);
     const auto load = usable ? this->LoadOf(endpoint, now) : std::nullopt;
@@ -212,7 +216,7 @@
     const bool is_resting =
         found->rests.RestingUntil(id, endpoint.instance.incarnation, now)
             .has_value();
-    if (!IsUsable(endpoint, now) || is_resting) continue;
+    if (!IsUsable(*found, endpoint, now) || is_resting) continue;
     const auto limit = this->rate_limits->LimitOf(id, now);
     if (!limit) return std::nullopt;
     rate += *limit;
@@ -227,9 +231,9 @@
   if (!found) return false;
   const std::lock_guard<std::mutex> lock(found->mutex);
   return std::any_of(found->endpoints.begin(), found->endpoints.end(),
-                     [&excluded, now](const auto& entry) {
+                     [&found, &excluded, now](const auto& entry) {
                        return excluded.count(entry.first) == 0 &&
-                              IsUsable(entry.second, now);
+                              IsUsable(*found, entry.second, now);
                      });
 }
 
@@ -241,6 +245,14 @@
   found->rests.OnAsked(choice.id, choice.incarnation, rest, found->random, now);
 }
 
+bool EndpointPool::OnLeaving(const EndpointChoice& choice,
+                             kernel::TimePoint now) {
+  const auto found = this->Find(choice.service);
+  if (!found) return false;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  return found->leaving.Add(choice.id, choice.incarnation, now);
+}
+
 std::optional<kernel::TimePoint> EndpointPool::RestingUntil(
     const std::string& service, const std::set<std::string>& excluded,
     kernel::TimePoint now) {
@@ -249,7 +261,7 @@
   const std::lock_guard<std::mutex> lock(found->mutex);
   std::optional<kernel::TimePoint> first;
   for (const auto& [id, endpoint] : found->endpoints) {
-    if (!IsUsable(endpoint, now) || excluded.count(id) != 0) continue;
+    if (!IsUsable(*found, endpoint, now) || excluded.count(id) != 0) continue;
     const auto until =
         found->rests.RestingUntil(id, endpoint.instance.incarnation, now);
     if (!until) return std::nullopt;
@@ -432,6 +444,9 @@
                              ? this->rate_limits->LimitOf(id, now)
                              : std::nullopt;
       if (limit) add("limit", std::to_string(*limit));
+      const bool leaves =
+          service->leaving.Contains(id, endpoint.instance.incarnation);
+      if (leaves) add("says_leaving", "yes");
       const auto resting =
           service->rests.RestingUntil(id, endpoint.instance.incarnation, now);
       if (resting)
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "direct/internal/endpoint_rests.h"
+#include "direct/internal/leaving_endpoints.h"
 #include "direct/internal/outage_estimator.h"
 #include "kernel/time.h"
 #include "limits/i_rate_limits.h"
@@ -156,6 +157,11 @@
   void OnRestAsked(const EndpointChoice& choice, kernel::Millis rest,
                    kernel::TimePoint now);
 
+  /// Records that a response of an endpoint says that it leaves. It gets no
+  /// further requests.
+  /// @return whether this is news.
+  bool OnLeaving(const EndpointChoice& choice, kernel::TimePoint now);
+
   /// Returns when the first rest ends if all endpoints outside of `excluded`
   /// that could be used have asked for one, or nothing.
   std::optional<kernel::TimePoint> RestingUntil(
@@ -215,6 +221,7 @@
     std::mutex mutex;                           ///< Guards all members below.
     std::map<std::string, Endpoint> endpoints;  ///< Endpoints by id.
     EndpointRests rests;
+    LeavingEndpoints leaving;
     std::minstd_rand random;
     /// Refusals since the last event or completed response.
     int consecutive_refusals = 0;
@@ -240,7 +247,8 @@
 
   /// Returns whether the endpoint is listed as live and not in its
   /// replaced_pause.
-  static bool IsUsable(const Endpoint& endpoint, kernel::TimePoint now);
+  static bool IsUsable(const Service& service, const Endpoint& endpoint,
+                       kernel::TimePoint now);
   std::int64_t SlotsOf(const Endpoint& endpoint) const;
   /// Returns the requests of all gateways at the endpoint as a fraction of its
   /// slots, plus the penalties, or nothing when the endpoint has no capacity.
--- a/tests/processes/gateway_fleet.cc
+++ b/tests/processes/gateway_fleet.cc
@@ -125,6 +125,12 @@
               kControlTimeout);
 }
 
+void GatewayFleet::SetLeaving(const std::string& server, bool leaving) {
+  http::Fetch(this->Address(server),
+              {"PUT", "/control/leaving", {}, leaving ? "1" : "0", ""},
+              kControlTimeout);
+}
+
 int GatewayFleet::ArrivalCount(const std::string& server) {
   return std::stoi("0" +
                    this->FetchPage(this->Address(server), "/control/arrivals"));
--- a/tests/processes/gateway_fleet.h
+++ b/tests/processes/gateway_fleet.h
@@ -44,6 +44,8 @@
   /// @param proven whether refusals state that the request has not run.
   void Refuse(const std::string& server, const std::string& retry_after,
               bool proven = true);
+  /// Lets a server say in its responses that it leaves, or no longer.
+  void SetLeaving(const std::string& server, bool leaving);
   /// Returns the number of requests that reached a server since its start.
   int ArrivalCount(const std::string& server);
   /// Lets requests for `path` end a server until its process has ended.
--- a/tests/standins/server_standin.cc
+++ b/tests/standins/server_standin.cc
@@ -16,6 +16,7 @@
 constexpr const char* kIdField = "x-request-id";
 constexpr const char* kStampField = "x-server-stamp";
 constexpr const char* kLimitField = "server-limit";
+constexpr const char* kLeavingField = "server-leaving";
 constexpr const char* kPartsField = "x-prefix-hash";
 constexpr const char* kRetryAfterField = "retry-after";
 constexpr int kMisdirected = 421;
@@ -51,6 +52,11 @@
       exchange.Reply({200, {}, "ok\n"});
       return;
     }
+    if (request.Path() == "/control/leaving") {
+      this->leaving = request.body == "1";
+      exchange.Reply({200, {}, "ok\n"});
+      return;
+    }
     if (request.Path() == "/control/crash") {
       this->SetCrashPath(request.body);
       exchange.Reply({200, {}, "ok\n"});
@@ -63,7 +69,8 @@
       exchange.Reply({kMisdirected, {{"x-not-executed", "1"}}, ""});
       return;
     }
-    if (const auto refusal = this->Refusal()) {
+    if (auto refusal = this->Refusal()) {
+      if (this->leaving) refusal->headers.emplace_back(kLeavingField, "1");
       exchange.Reply(*refusal);
       return;
     }
@@ -84,6 +91,7 @@
         {kStampField, this->id}};
     const std::string limit = this->Limit();
     if (!limit.empty()) headers.emplace_back(kLimitField, limit);
+    if (this->leaving) headers.emplace_back(kLeavingField, "1");
     if (crashes) {
       exchange.BeginStream(200, headers);
       exchange.Wait(kernel::Clock::now() + kCrashDelay);
@@ -145,6 +153,7 @@
   }
 
   const std::string id;
+  std::atomic<bool> leaving{false};
   std::atomic<int> arrivals{0};  ///< Requests of gateways, also refused ones.
   std::mutex mutex;              ///< Guards all members below.
   /// Requests a second that each response names as the limit, or "".
