Send doubtful work one attempt after the other over all gateways

Cause: between its third crash and its quarantine nothing limited the attempts at work, and a crash is known only after it. Change: work with three crashes of which at least one followed another is doubtful; from 1.6 s on its attempts need one of 2 permits a second over all gateways, from the coordinator of named limits (SharedRateLimits::SetLimit, which tells no other gateway, since each knows the work itself), until an endpoint begins to respond to it. Crashes of one event need none. Event BL0513.

Assertions: crash_attribution/quarantines_work_from_its_third_crash compares the status that replaces the flag.

--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -37,6 +37,7 @@
     this->crashes = std::make_shared<CrashMonitor>(
         settings.Text("node", "id") + "/" + kernel::RandomId(), this->runtime,
         context.Resolve<kernel::Metrics>(),
+        context.Resolve<limits::IRateLimits>(),
         [peers = context.Resolve<peers::IPeers>()](kernel::TimePoint now) {
           return peers->LiveGateways(now).size();
         });
--- a/src/direct/internal/crash_monitor.cc
+++ b/src/direct/internal/crash_monitor.cc
@@ -10,14 +10,28 @@
 /// without power does not respond at all, which shows nothing about the work.
 constexpr kernel::Millis kCheckTimeout{500};
 
+kernel::EventId EventOf(evidence::WorkStatus status) {
+  switch (status) {
+    case evidence::WorkStatus::kClear:
+      return kernel::EventId::kWorkCleared;
+    case evidence::WorkStatus::kDoubtful:
+      return kernel::EventId::kWorkDoubtful;
+    case evidence::WorkStatus::kQuarantined:
+      return kernel::EventId::kWorkQuarantined;
+  }
+  return kernel::EventId::kWorkCleared;
+}
+
 }  // namespace
 
 CrashMonitor::CrashMonitor(
     std::string node, std::shared_ptr<http::IHttpRuntime> runtime,
     std::shared_ptr<kernel::Metrics> metrics,
+    std::shared_ptr<limits::IRateLimits> rate_limits,
     std::function<std::size_t(kernel::TimePoint)> count_gateways)
     : runtime(std::move(runtime)),
       metrics(std::move(metrics)),
+      rate_limits(std::move(rate_limits)),
       count_gateways(std::move(count_gateways)),
       evidence(std::move(node), evidence::AttributionLimits{}) {}
 
@@ -57,7 +71,7 @@
                     {"attempts", std::to_string(attempts.size())}});
   for (const auto& [keys, attempt] : attempts)
     this->Send(this->evidence.RecordCrash(keys, crash, attempt, now));
-  this->LogChanges();
+  this->ApplyChanges(now);
 }
 
 void CrashMonitor::OnBegun(const Keys& keys, kernel::TimePoint sent_at,
@@ -68,7 +82,12 @@
 void CrashMonitor::OnSurvived(const Keys& keys, kernel::TimePoint sent_at,
                               kernel::TimePoint now) {
   this->Send(this->evidence.RecordSurvival(keys, sent_at, now));
-  this->LogChanges();
+  this->ApplyChanges(now);
+}
+
+void CrashMonitor::Expire(kernel::TimePoint now) {
+  this->evidence.Expire(now);
+  this->ApplyChanges(now);
 }
 
 void CrashMonitor::OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) {
@@ -87,7 +106,7 @@
   if (report == nullptr) return;
   if (this->evidence.Merge(*report, now) && this->MustForward(now))
     this->Send({*report}, link);
-  this->LogChanges();
+  this->ApplyChanges(now);
 }
 
 void CrashMonitor::OnLinkDown(const link::LinkPtr& link,
@@ -117,14 +136,22 @@
   }
 }
 
-void CrashMonitor::LogChanges() {
+void CrashMonitor::ApplyChanges(kernel::TimePoint now) {
   for (const auto& change : this->evidence.TakeChanges()) {
+    const bool is_doubtful = change.status == evidence::WorkStatus::kDoubtful;
+    this->rate_limits->SetLimit(
+        limits::WorkResource(change.key),
+        is_doubtful
+            ? std::optional(evidence::AttributionLimits{}.permits_per_second)
+            : std::nullopt,
+        now);
+    const bool is_quarantined =
+        change.status == evidence::WorkStatus::kQuarantined;
+    if (is_quarantined)
+      this->metrics->Count("banyanlane_work_quarantined_total");
     kernel::LogEvent(
-        change.is_quarantined ? kernel::EventId::kWorkQuarantined
-                              : kernel::EventId::kWorkCleared,
+        EventOf(change.status),
         {{"work", change.key}, {"crashes", std::to_string(change.crashes)}});
-    if (change.is_quarantined)
-      this->metrics->Count("banyanlane_work_quarantined_total");
   }
 }
 
--- a/src/direct/internal/crash_monitor.h
+++ b/src/direct/internal/crash_monitor.h
@@ -11,6 +11,7 @@
 #include "evidence/crash_attribution.h"
 #include "http/i_http_runtime.h"
 #include "kernel/metrics.h"
+#include "limits/i_rate_limits.h"
 #include "link/i_link.h"
 
 namespace banyanlane::direct {
@@ -27,11 +28,13 @@
   using Keys = evidence::CrashAttribution::Keys;
 
   /// @param node name of this gateway's incarnation in reports.
+  /// @param rate_limits permits for attempts at doubtful work.
   /// @param count_gateways returns the number of other gateways that are live.
   /// Reports are forwarded only while there are more of them than links, since
   /// otherwise every gateway receives each report from its sender.
   CrashMonitor(std::string node, std::shared_ptr<http::IHttpRuntime> runtime,
                std::shared_ptr<kernel::Metrics> metrics,
+               std::shared_ptr<limits::IRateLimits> rate_limits,
                std::function<std::size_t(kernel::TimePoint)> count_gateways);
 
   evidence::CrashAttribution& attribution() { return this->evidence; }
@@ -48,7 +51,7 @@
   /// @param sent_at when the attempt was sent.
   void OnSurvived(const Keys& keys, kernel::TimePoint sent_at,
                   kernel::TimePoint now);
-  void Expire(kernel::TimePoint now) { this->evidence.Expire(now); }
+  void Expire(kernel::TimePoint now);
 
   void OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) override;
   void OnMessage(const link::LinkPtr& link, link::Message message,
@@ -66,10 +69,12 @@
   bool MustForward(kernel::TimePoint now);
   void Send(const std::vector<link::WorkReport>& reports,
             const link::LinkPtr& except = nullptr);
-  void LogChanges();
+  /// Processes the changes of the status of work.
+  void ApplyChanges(kernel::TimePoint now);
 
   std::shared_ptr<http::IHttpRuntime> runtime;
   std::shared_ptr<kernel::Metrics> metrics;
+  std::shared_ptr<limits::IRateLimits> rate_limits;
   std::function<std::size_t(kernel::TimePoint)> count_gateways;
   evidence::CrashAttribution evidence;
   std::mutex mutex;  ///< Guards the members below.
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -76,10 +76,24 @@
   this->WaitForCapacity(now);
 }
 
+std::optional<std::string> DirectFlow::LimitedWork(
+    kernel::TimePoint now) const {
+  if (this->context.rate_limits == nullptr) return std::nullopt;
+  const auto key =
+      this->context.attribution.DoubtfulKey(this->request.work_keys, now);
+  return key ? std::optional(limits::WorkResource(*key)) : std::nullopt;
+}
+
 bool DirectFlow::Send(kernel::TimePoint now) {
+  const auto work = this->LimitedWork(now);
+  const bool is_permitted =
+      !work || (this->context.pool.HasCapacity(this->request.service, now) &&
+                this->context.rate_limits->MaySend(*work, now));
+  if (!is_permitted) return false;
   const auto choice = this->context.pool.Choose(this->request.service,
                                                 this->tried_endpoints, now);
   if (!choice) return false;
+  if (work) this->context.rate_limits->OnSent(*work, now);
   this->context.queue.OnDispatched(this->request.service, now);
   this->endpoint = choice;
   this->last_endpoint = choice->id;
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -75,6 +75,8 @@
   /// Number of gateways that share the retries.
   std::size_t gateway_count = 1;
   DirectLimits limits;
+  /// Permits for attempts at doubtful work; null if there are none.
+  limits::IRateLimits* rate_limits = nullptr;
 };
 
 /// Makes all decisions about one caller's request that the gateway sends
@@ -108,6 +110,8 @@
   enum class State { kIdle, kQueued, kSent, kResponding, kDone };
 
   void SendOrWait(kernel::TimePoint now);
+  /// Returns the name under which this request's work is limited, or nothing.
+  std::optional<std::string> LimitedWork(kernel::TimePoint now) const;
   /// Fails the request if its work is quarantined.
   /// @return whether it failed.
   bool FailIfQuarantined(kernel::TimePoint now);
@@ -116,7 +120,7 @@
   /// Reports the end of the current attempt's connection.
   void ReportConnectionLost(kernel::TimePoint now);
   /// Begins an attempt at an endpoint that has capacity.
-  /// @return false if there is none.
+  /// @return false if there is none, or no permit for doubtful work.
   bool Send(kernel::TimePoint now);
   /// Enqueues the request, or fails it if a wait would be too long or futile.
   void WaitForCapacity(kernel::TimePoint now);
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -239,7 +239,8 @@
                               this->queue,
                               this->crashes->attribution(),
                               this->peers->LiveGateways(started).size() + 1,
-                              this->settings.limits};
+                              this->settings.limits,
+                              this->rate_limits.get()};
   DirectRunner::Environment environment;
   environment.runtime = this->runtime;
   environment.protocol = this->protocol;
--- a/src/direct/tests/crash_flow_test.cc
+++ b/src/direct/tests/crash_flow_test.cc
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include "direct/tests/flow_harness.h"
+#include "direct/tests/stub_limits.h"
 
 namespace banyanlane::direct {
 namespace {
@@ -101,6 +102,28 @@
   cr_assert_eq(harness.Count<CallEndpoint>(), 1, "a probe is not retried");
 }
 
+Test(crash_flow, sends_doubtful_work_only_with_a_permit) {
+  StubLimits permits;
+  FlowHarness harness(false, true, 3,
+                      RetryLimits{0.2, Millis(10'000), 100, 1.0}, &permits);
+  const TimePoint crashed_at =
+      kStart - evidence::AttributionLimits{}.permit_free_time;
+  const TimePoint before = crashed_at - Millis(200);
+  for (const char* crash : {"c1", "c2"})
+    harness.attribution.RecordCrash({kWork}, crash, {before, before}, before);
+  harness.attribution.RecordCrash({kWork}, "c3", {crashed_at, crashed_at},
+                                  crashed_at);
+  const std::string resource = limits::WorkResource(kWork);
+  permits.SetLimit(resource, 2, crashed_at);
+  harness.Apply(harness.flow->Start(kStart));
+  cr_assert_null(harness.Last<CallEndpoint>());
+  cr_assert_null(harness.Last<SendRefusal>(), "it waits for a permit");
+  permits.permits[resource] = 1;
+  harness.Apply(harness.flow->OnCapacity(kStart));
+  cr_assert_not_null(harness.Last<CallEndpoint>());
+  cr_assert_eq(permits.permits[resource], 0);
+}
+
 Test(crash_flow, reports_a_success_as_survived_but_no_failure) {
   for (const int status : {200, 500}) {
     FlowHarness harness(false, false);
--- a/src/direct/tests/crash_monitor_test.cc
+++ b/src/direct/tests/crash_monitor_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include "direct/tests/stub_limits.h"
+
 namespace banyanlane::direct {
 namespace {
 
@@ -33,6 +35,7 @@
   explicit Harness(std::size_t live_gateways)
       : monitor(std::make_shared<CrashMonitor>(
             "g", http::MakeHttpRuntime(), std::make_shared<kernel::Metrics>(),
+            this->limits,
             [live_gateways](kernel::TimePoint) { return live_gateways; })) {
     for (const auto& link : {this->first, this->second, this->rank})
       this->monitor->OnLinkUp(link, kNow);
@@ -45,6 +48,7 @@
         link::WorkReport{"work", "other", {crash}, {1}, 0, 0, 1'000}, kNow);
   }
 
+  std::shared_ptr<StubLimits> limits = std::make_shared<StubLimits>();
   std::shared_ptr<CountingLink> first =
       std::make_shared<CountingLink>(1, "gateway");
   std::shared_ptr<CountingLink> second =
@@ -70,6 +74,17 @@
   cr_assert_eq(harness.second->reports, 1);
 }
 
+Test(crash_monitor, limits_the_attempts_at_doubtful_work_until_it_is_cleared) {
+  Harness harness(2);
+  harness.Receive("c1");
+  harness.Receive("c2");
+  cr_assert(harness.limits->permits.empty());
+  harness.Receive("c3");
+  cr_assert_eq(harness.limits->permits.count(limits::WorkResource("work")), 1);
+  harness.monitor->OnSurvived({"work"}, kNow, kNow);
+  cr_assert(harness.limits->permits.empty());
+}
+
 Test(crash_monitor, sends_nothing_to_rank_agents) {
   Harness harness(3);
   harness.Receive("c1");
--- a/src/direct/tests/flow_harness.h
+++ b/src/direct/tests/flow_harness.h
@@ -71,7 +71,7 @@
     direct_request.deadline_ms = 8'000;
     this->flow = std::make_unique<DirectFlow>(
         DirectContext{this->pool, this->retries, this->queue, this->attribution,
-                      1, DirectLimits{}},
+                      1, DirectLimits{}, rate_limits},
         std::move(direct_request), kNumber);
   }
 
--- a/src/direct/tests/limited_endpoint_test.cc
+++ b/src/direct/tests/limited_endpoint_test.cc
@@ -1,39 +1,11 @@
 #include <criterion/criterion.h>
 
-#include <map>
-
 #include "direct/tests/flow_harness.h"
+#include "direct/tests/stub_limits.h"
 
 namespace banyanlane::direct {
 namespace {
 
-/// Limits whose permits a test sets.
-class StubLimits : public limits::IRateLimits {
- public:
-  bool MaySend(const std::string& endpoint,
-               kernel::TimePoint /*now*/) override {
-    const auto found = this->permits.find(endpoint);
-    return found == this->permits.end() || found->second > 0;
-  }
-  void OnSent(const std::string& endpoint, kernel::TimePoint /*now*/) override {
-    const auto found = this->permits.find(endpoint);
-    if (found != this->permits.end()) --found->second;
-  }
-  std::optional<double> LimitOf(const std::string& endpoint,
-                                kernel::TimePoint /*now*/) override {
-    return this->permits.count(endpoint) != 0 ? std::optional(1.0)
-                                              : std::nullopt;
-  }
-  void OnResponse(const std::string& /*endpoint*/,
-                  std::optional<double> /*per_second*/,
-                  kernel::TimePoint /*sent_at*/,
-                  kernel::TimePoint /*now*/) override {}
-  void Subscribe(
-      std::function<void(kernel::TimePoint)> /*on_permits*/) override {}
-
-  std::map<std::string, int> permits;  ///< By endpoints that have a limit.
-};
-
 /// Returns a flow whose three endpoints all have a limit of one request a
 /// second and no permit, and `ahead` requests of `urgency` that wait already.
 std::unique_ptr<FlowHarness> MakeOverloaded(StubLimits& limits, int ahead,
--- a/src/evidence/crash_attribution.h
+++ b/src/evidence/crash_attribution.h
@@ -33,6 +33,17 @@
   /// long. Gateways add up to as much again, so that they do not all try the
   /// work again at the same time.
   kernel::Millis quarantine{60'000};
+  /// Number of crashes from which work is doubtful.
+  std::size_t doubtful_crashes = 3;
+  /// Number of crashes one after the other from which attempts at doubtful work
+  /// need a permit.
+  std::int64_t permit_streak = 2;
+  /// Attempts a second at doubtful work that need a permit, at all gateways
+  /// together. A crash is known everywhere before the next attempt.
+  double permits_per_second = 2;
+  /// Time after which attempts at doubtful work need a permit. Longer than the
+  /// time for which a new coordinator of permits waits before it acts.
+  kernel::Millis permit_free_time{1'600};
   /// Time between two attempts of one gateway at work whose quarantine has
   /// ended, until the work is cleared.
   kernel::Millis probe_interval{5'000};
@@ -46,6 +57,16 @@
   std::size_t max_records = 4'096;
 };
 
+/// What the evidence says about work.
+enum class WorkStatus {
+  kClear,
+  /// Endpoints have crashed while they ran it, perhaps all by one event, and
+  /// none has survived it since.
+  kDoubtful,
+  /// It crashes endpoints.
+  kQuarantined,
+};
+
 /// Finds the work that crashes endpoints, from what several gateways observe.
 ///
 /// Work has keys, which requests with the same work share. Each gateway reports
@@ -60,10 +81,10 @@
   using Keys = std::vector<std::string>;
   using Reports = std::vector<link::WorkReport>;
 
-  /// Key that has been quarantined, or released.
+  /// Key whose status has changed.
   struct Change {
     std::string key;
-    bool is_quarantined = false;
+    WorkStatus status = WorkStatus::kClear;
     std::size_t crashes = 0;
   };
 
@@ -80,6 +101,12 @@
   /// @return whether the attempt is such a probe.
   bool TryProbe(const Keys& keys, kernel::TimePoint now);
 
+  /// Returns the key of the work in `keys` that is doubtful and whose attempts
+  /// need a permit, or nothing. They need none at first, so that endpoints that
+  /// are up show at once whether the work is sound.
+  std::optional<std::string> DoubtfulKey(const Keys& keys,
+                                         kernel::TimePoint now) const;
+
   /// Records that an attempt with `keys` ended with a crash.
   /// @param crash id of the crash. The same id counts once.
   /// @return the reports to send to other gateways.
@@ -116,7 +143,8 @@
     explicit Record(kernel::Millis event_time) : work(event_time) {}
 
     WorkRecord work;
-    bool is_quarantined = false;
+    WorkStatus status = WorkStatus::kClear;
+    kernel::TimePoint doubtful_since;
     kernel::TimePoint quarantined_until;
     int quarantines = 0;
     kernel::TimePoint expires_at;
@@ -157,9 +185,10 @@
   /// Quarantines the work of `record` if its latest crash requires it.
   void JudgeCrash(const std::string& key, Record& record,
                   kernel::TimePoint now);
-  /// Releases the work of `record` if its latest survival allows it.
-  void JudgeSurvival(const std::string& key, Record& record);
-  void SetQuarantined(const std::string& key, Record& record, bool quarantined);
+  /// Sets the status of work that is not to be quarantined.
+  void UpdateStatus(const std::string& key, Record& record,
+                    kernel::TimePoint now);
+  void SetStatus(const std::string& key, Record& record, WorkStatus status);
   link::WorkReport ToReport(const std::string& key, const Record& record,
                             kernel::TimePoint now) const;
 
--- a/src/evidence/internal/crash_attribution.cc
+++ b/src/evidence/internal/crash_attribution.cc
@@ -28,7 +28,9 @@
   std::optional<kernel::TimePoint> until;
   for (const std::string& key : keys) {
     const auto found = this->records.find(key);
-    if (found == this->records.end() || !found->second.is_quarantined) continue;
+    if (found == this->records.end() ||
+        found->second.status != WorkStatus::kQuarantined)
+      continue;
     const kernel::TimePoint end = found->second.quarantined_until;
     if (end > now) until = std::max(until.value_or(end), end);
   }
@@ -40,7 +42,9 @@
   bool is_probe = false;
   for (const std::string& key : keys) {
     const auto found = this->records.find(key);
-    if (found == this->records.end() || !found->second.is_quarantined) continue;
+    if (found == this->records.end() ||
+        found->second.status != WorkStatus::kQuarantined)
+      continue;
     is_probe = true;
     found->second.quarantined_until = now + this->limits.probe_interval;
   }
@@ -76,8 +80,8 @@
 
 void CrashAttribution::MakeRoom() {
   for (auto it = this->records.begin(); it != this->records.end();) {
-    const bool is_weak =
-        !it->second.is_quarantined && it->second.work.CrashCount() <= 1;
+    const bool is_weak = it->second.status == WorkStatus::kClear &&
+                         it->second.work.CrashCount() <= 1;
     it = is_weak ? this->records.erase(it) : std::next(it);
   }
 }
@@ -163,7 +167,7 @@
     const auto found = this->records.find(key);
     if (found == this->records.end()) continue;
     if (!found->second.work.ClearKnownAt(sent_at)) continue;
-    this->JudgeSurvival(key, found->second);
+    this->UpdateStatus(key, found->second, now);
     reports.push_back(this->ToReport(key, found->second, now));
   }
   return reports;
@@ -187,7 +191,7 @@
                                   report.generations[i], now, expires_at);
   }
   const bool has_begun = record->work.MergeBegun(report.node, report.begun);
-  if (has_cleared) this->JudgeSurvival(report.key, *record);
+  if (has_cleared) this->UpdateStatus(report.key, *record, now);
   if (has_crashes) this->JudgeCrash(report.key, *record, now);
   return has_cleared || has_begun || has_crashes;
 }
@@ -205,25 +209,60 @@
 
 void CrashAttribution::JudgeCrash(const std::string& key, Record& record,
                                   kernel::TimePoint now) {
-  if (record.work.Streak() < this->limits.max_streak) return;
   const auto crashes = static_cast<std::int64_t>(record.work.CrashCount());
-  if (record.work.Begun() > crashes * this->limits.begun_per_crash) return;
+  const bool is_sound =
+      record.work.Streak() < this->limits.max_streak ||
+      record.work.Begun() > crashes * this->limits.begun_per_crash;
+  if (is_sound) {
+    this->UpdateStatus(key, record, now);
+    return;
+  }
   record.quarantined_until = now + this->QuarantineTime(key, record);
   ++record.quarantines;
-  this->SetQuarantined(key, record, true);
+  this->SetStatus(key, record, WorkStatus::kQuarantined);
   this->Explain(key, record);
 }
 
-void CrashAttribution::JudgeSurvival(const std::string& key, Record& record) {
-  if (record.work.Streak() < this->limits.max_streak)
-    this->SetQuarantined(key, record, false);
+void CrashAttribution::UpdateStatus(const std::string& key, Record& record,
+                                    kernel::TimePoint now) {
+  const bool remains_quarantined =
+      record.status == WorkStatus::kQuarantined &&
+      record.work.Streak() >= this->limits.max_streak;
+  if (remains_quarantined) return;
+  const bool is_doubtful =
+      record.work.CrashCount() >= this->limits.doubtful_crashes;
+  if (is_doubtful && record.status != WorkStatus::kDoubtful)
+    record.doubtful_since = now;
+  this->SetStatus(key, record,
+                  is_doubtful ? WorkStatus::kDoubtful : WorkStatus::kClear);
 }
 
-void CrashAttribution::SetQuarantined(const std::string& key, Record& record,
-                                      bool quarantined) {
-  if (record.is_quarantined == quarantined) return;
-  record.is_quarantined = quarantined;
-  this->changes.push_back({key, quarantined, record.work.CrashCount()});
+void CrashAttribution::SetStatus(const std::string& key, Record& record,
+                                 WorkStatus status) {
+  if (record.status == status) return;
+  record.status = status;
+  this->changes.push_back({key, status, record.work.CrashCount()});
+}
+
+std::optional<std::string> CrashAttribution::DoubtfulKey(
+    const Keys& keys, kernel::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::optional<std::string> doubtful;
+  std::size_t most_crashes = 0;
+  for (const std::string& key : keys) {
+    const auto found = this->records.find(key);
+    if (found == this->records.end()) continue;
+    const Record& record = found->second;
+    const bool needs_permit =
+        record.status == WorkStatus::kDoubtful && record.work.Begun() == 0 &&
+        record.work.Streak() >= this->limits.permit_streak &&
+        now - record.doubtful_since >= this->limits.permit_free_time &&
+        record.work.CrashCount() > most_crashes;
+    if (!needs_permit) continue;
+    most_crashes = record.work.CrashCount();
+    doubtful = key;
+  }
+  return doubtful;
 }
 
 CrashAttribution::Reports CrashAttribution::All(kernel::TimePoint now) const {
@@ -239,7 +278,12 @@
 void CrashAttribution::Expire(kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   for (auto it = this->records.begin(); it != this->records.end();) {
-    it = it->second.expires_at <= now ? this->records.erase(it) : std::next(it);
+    if (it->second.expires_at > now) {
+      ++it;
+      continue;
+    }
+    this->SetStatus(it->first, it->second, WorkStatus::kClear);
+    it = this->records.erase(it);
   }
   for (auto it = this->explained.begin(); it != this->explained.end();) {
     it = it->second.expires_at <= now ? this->explained.erase(it)
--- a/src/evidence/tests/crash_attribution_test.cc
+++ b/src/evidence/tests/crash_attribution_test.cc
@@ -69,7 +69,7 @@
   cr_assert_not(IsQuarantined(gateway, "other"));
   const auto changes = gateway.TakeChanges();
   cr_assert_eq(changes.size(), 1);
-  cr_assert(changes.front().is_quarantined);
+  cr_assert_eq(changes.front().status, WorkStatus::kQuarantined);
 }
 
 Test(crash_attribution, adds_up_the_crashes_that_several_gateways_saw) {
@@ -254,6 +254,30 @@
   cr_assert(crash_in_turn(limits.event_time));
 }
 
+Test(crash_attribution, needs_a_permit_for_doubtful_work_until_it_has_begun) {
+  CrashAttribution gateway = Gateway();
+  CrashAtOnce(gateway, {"work"}, "c1");
+  CrashAtOnce(gateway, {"work"}, "c2");
+  Crash(gateway, {"work"}, "c3");
+  const auto needs_permit = [&gateway](TimePoint now) {
+    return gateway.DoubtfulKey({"other", "work"}, now).has_value();
+  };
+  const TimePoint later = kNow + AttributionLimits{}.permit_free_time;
+  cr_assert_not(needs_permit(later - Millis(1)));
+  cr_assert(needs_permit(later));
+  gateway.RecordBegun({"work"}, later, later);
+  cr_assert_not(needs_permit(later));
+}
+
+Test(crash_attribution, needs_no_permit_after_one_event_that_ended_all) {
+  CrashAttribution gateway = Gateway();
+  for (int i = 0; i < 20; ++i)
+    CrashAtOnce(gateway, {"work"}, "c" + std::to_string(i));
+  cr_assert_not(
+      gateway.DoubtfulKey({"work"}, kNow + AttributionLimits{}.permit_free_time)
+          .has_value());
+}
+
 Test(crash_attribution, is_not_cleared_by_an_attempt_sent_before_the_crashes) {
   CrashAttribution gateway = Gateway();
   for (const char* crash : {"c1", "c2", "c3"}) {
--- a/src/evidence/tests/simulated_service.cc
+++ b/src/evidence/tests/simulated_service.cc
@@ -1,6 +1,9 @@
 #include "evidence/tests/simulated_service.h"
 
 #include <algorithm>
+#include <type_traits>
+
+#include "limits/i_rate_limits.h"
 
 namespace banyanlane::evidence {
 namespace {
@@ -9,6 +12,7 @@
 using kernel::TimePoint;
 
 const char* const kWork = "work";
+const std::string kWorkResource = limits::WorkResource(kWork);
 constexpr std::size_t kMaxLinks = 96;
 constexpr int kMaxAttempts = 2;
 constexpr int kMaxCallerAttempts = 2;
@@ -23,6 +27,7 @@
 constexpr Millis kRetryInterval{10};
 constexpr Millis kExpirePeriod{10'000};
 constexpr double kMillisPerSecond = 1'000;
+constexpr Millis kPermitPeriod{100};
 
 }  // namespace
 
@@ -37,8 +42,16 @@
     this->gateways.push_back(std::make_unique<CrashAttribution>(
         "g" + std::to_string(i), AttributionLimits{}));
   }
+  for (std::size_t i = 0; i < gateway_count; ++i) {
+    this->permits.push_back(std::make_unique<limits::SharedRateLimits>(
+        i + 1, limits::PermitLimits{}));
+    for (std::size_t to = 0; to < gateway_count; ++to) {
+      if (this->AreLinked(i, to)) this->permits[i]->OnLinkUp(to, this->now);
+    }
+  }
   this->ScheduleArrival();
   this->ExpireEvidence();
+  this->StepAllPermits();
 }
 
 void SimulatedService::At(TimePoint time, std::function<void()> event) {
@@ -60,7 +73,10 @@
 }
 
 void SimulatedService::ExpireEvidence() {
-  for (const auto& gateway : this->gateways) gateway->Expire(this->now);
+  for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+    this->gateways[i]->Expire(this->now);
+    this->ApplyChanges(i);
+  }
   this->At(this->now + kExpirePeriod, [this] { this->ExpireEvidence(); });
 }
 
@@ -92,12 +108,19 @@
   for (std::size_t i = 0; i < this->endpoints.size(); ++i) {
     if (this->endpoints[i].is_up) up.push_back(i);
   }
-  if (up.empty()) {
-    if (this->now >= request.wait_until) return;
+  limits::SharedRateLimits& permits_here = *this->permits[request.gateway];
+  const bool needs_permit = gateway.DoubtfulKey({kWork}, this->now).has_value();
+  if (up.empty() ||
+      (needs_permit && !permits_here.MaySend(kWorkResource, this->now))) {
+    if (this->now >= request.wait_until) {
+      if (!up.empty()) ++this->refused;
+      return;
+    }
     this->At(this->now + kRetryInterval,
              [this, request] { this->Dispatch(request); });
     return;
   }
+  if (needs_permit) permits_here.OnSent(kWorkResource, this->now);
   gateway.TryProbe({kWork}, this->now);
   const std::size_t endpoint = up[this->random() % up.size()];
   ++request.attempts;
@@ -192,6 +215,7 @@
 void SimulatedService::Send(std::size_t from,
                             const CrashAttribution::Reports& reports,
                             std::size_t except) {
+  this->ApplyChanges(from);
   for (const link::WorkReport& report : reports) {
     for (std::size_t to = 0; to < this->gateways.size(); ++to) {
       if (to == except || !this->AreLinked(from, to)) continue;
@@ -204,10 +228,54 @@
 void SimulatedService::Deliver(std::size_t from, std::size_t to,
                                const link::WorkReport& report) {
   const bool is_new = this->gateways[to]->Merge(report, this->now);
+  this->ApplyChanges(to);
   const bool must_forward = this->gateways.size() > kMaxLinks + 1;
   if (is_new && must_forward) this->Send(to, {report}, from);
 }
 
+void SimulatedService::ApplyChanges(std::size_t gateway) {
+  for (const auto& change : this->gateways[gateway]->TakeChanges()) {
+    const bool is_doubtful = change.status == WorkStatus::kDoubtful;
+    this->permits[gateway]->SetLimit(
+        kWorkResource,
+        is_doubtful ? std::optional(AttributionLimits{}.permits_per_second)
+                    : std::nullopt,
+        this->now);
+    this->StepPermits(gateway);
+  }
+}
+
+void SimulatedService::StepPermits(std::size_t gateway) {
+  limits::SharedRateLimits& own = *this->permits[gateway];
+  own.Step(this->now);
+  for (const auto& outgoing : own.TakeMessages()) {
+    this->At(this->now + this->Draw(1, 5), [this, gateway, outgoing] {
+      std::visit(
+          [this, gateway, &outgoing](const auto& message) {
+            using Message = std::decay_t<decltype(message)>;
+            constexpr bool kIsHandled =
+                std::is_same_v<Message, link::RateLimit> ||
+                std::is_same_v<Message, link::Coordinator> ||
+                std::is_same_v<Message, link::PermitRequest> ||
+                std::is_same_v<Message, link::PermitGrant>;
+            if constexpr (kIsHandled) {
+              this->permits[outgoing.link]->OnMessage(gateway, message,
+                                                      this->now);
+            }
+          },
+          outgoing.message);
+      this->StepPermits(outgoing.link);
+    });
+  }
+}
+
+void SimulatedService::StepAllPermits() {
+  for (std::size_t i = 0; i < this->permits.size(); ++i) {
+    if (this->permits[i]->IsActive()) this->StepPermits(i);
+  }
+  this->At(this->now + kPermitPeriod, [this] { this->StepAllPermits(); });
+}
+
 int SimulatedService::AttemptsAfterThirdCrash(Millis span) const {
   constexpr std::size_t kThird = 2;
   if (this->crash_times.size() <= kThird) return 0;
--- a/src/evidence/tests/simulated_service.h
+++ b/src/evidence/tests/simulated_service.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "evidence/crash_attribution.h"
+#include "limits/internal/shared_rate_limits.h"
 
 namespace banyanlane::evidence {
 
@@ -29,7 +30,8 @@
   /// They start again later.
   void LosePower(std::size_t count);
 
-  /// Returns the number of requests that were refused as quarantined.
+  /// Returns the number of requests that were refused as quarantined, or waited
+  /// in vain for a permit while an endpoint was up.
   int Refused() const { return this->refused; }
   /// Returns the number of endpoints that the work has crashed.
   int Crashes() const { return static_cast<int>(this->crash_times.size()); }
@@ -65,6 +67,11 @@
             std::size_t except);
   void Deliver(std::size_t from, std::size_t to,
                const link::WorkReport& report);
+  /// Passes changes of the status of the work on to the permits.
+  void ApplyChanges(std::size_t gateway);
+  /// Lets a gateway request and hand out permits, and sends its messages.
+  void StepPermits(std::size_t gateway);
+  void StepAllPermits();
   void ExpireEvidence();
   bool AreLinked(std::size_t left, std::size_t right) const;
   kernel::Millis Draw(int least, int most);
@@ -75,6 +82,9 @@
   bool is_crashing = false;
   std::multimap<kernel::TimePoint, std::function<void()>> events;
   std::vector<std::unique_ptr<CrashAttribution>> gateways;
+  /// Permits of each gateway. The number of a link is that of the gateway at
+  /// its other end.
+  std::vector<std::unique_ptr<limits::SharedRateLimits>> permits;
   std::vector<Endpoint> endpoints;
   int refused = 0;
   std::vector<kernel::TimePoint> crash_times;
--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -128,7 +128,10 @@
       {EventId::kWorkQuarantined, "work_quarantined", Level::kWarning,
        "Work reached the crash limit and is refused from now on."},
       {EventId::kWorkCleared, "work_cleared", Level::kInfo,
-       "Suspected work completed in isolation and is no longer suspected."},
+       "Suspected work completed and is no longer suspected."},
+      {EventId::kWorkDoubtful, "work_doubtful", Level::kWarning,
+       "Endpoints crashed while they ran the work and none has survived it "
+       "since; its attempts are limited over all gateways."},
       {EventId::kOrderApplied, "order_applied", Level::kInfo,
        "An order was applied to the endpoint."},
       {EventId::kOrderRefused, "order_refused", Level::kWarning,
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -48,6 +48,7 @@
   kWorkSuspected = 510,
   kWorkQuarantined = 511,
   kWorkCleared = 512,
+  kWorkDoubtful = 513,
   kOrderApplied = 520,
   kOrderRefused = 521,
   kGroupLead = 530,
--- a/src/limits/i_rate_limits.h
+++ b/src/limits/i_rate_limits.h
@@ -8,8 +8,17 @@
 
 namespace banyanlane::limits {
 
+/// Returns the name under which the attempts at some work are limited.
+inline std::string WorkResource(const std::string& work) {
+  return "work/" + work;
+}
+/// Returns whether `name` is such a name, and not the id of an endpoint.
+inline bool IsWorkResource(const std::string& name) {
+  return name.rfind("work/", 0) == 0;
+}
+
 /// Permits for endpoints that have named a limit for the requests of all
-/// gateways together.
+/// gateways together, and for work whose attempts the gateways limit.
 class IRateLimits {
  public:
   virtual ~IRateLimits() = default;
@@ -34,6 +43,13 @@
                           std::optional<double> per_second,
                           kernel::TimePoint sent_at, kernel::TimePoint now) = 0;
 
+  /// Limits the attempts at some work, or ends the limit. Each gateway sets it
+  /// by its own knowledge of the work.
+  /// @param resource see WorkResource.
+  virtual void SetLimit(const std::string& resource,
+                        std::optional<double> per_second,
+                        kernel::TimePoint now) = 0;
+
   /// Registers a function that is called when permits have arrived or a limit
   /// has ended. Call it before the gateway serves requests.
   virtual void Subscribe(std::function<void(kernel::TimePoint)> on_permits) = 0;
--- a/src/limits/internal/rate_limits.cc
+++ b/src/limits/internal/rate_limits.cc
@@ -26,6 +26,7 @@
     this->is_active = this->shared.IsActive();
   }
   for (const auto& [endpoint, per_second] : changes) {
+    if (IsWorkResource(endpoint)) continue;
     kernel::LogEvent(
         kernel::EventId::kEndpointLimited,
         {{"endpoint", endpoint}, {"per_second", std::to_string(per_second)}});
@@ -62,6 +63,15 @@
   });
 }
 
+void RateLimits::SetLimit(const std::string& resource,
+                          std::optional<double> per_second,
+                          kernel::TimePoint now) {
+  if (!this->is_active && !per_second) return;
+  this->Apply(now, [&](SharedRateLimits& limits) {
+    limits.SetLimit(resource, per_second, now);
+  });
+}
+
 void RateLimits::Subscribe(
     std::function<void(kernel::TimePoint)> new_on_permits) {
   this->on_permits = std::move(new_on_permits);
--- a/src/limits/internal/rate_limits.h
+++ b/src/limits/internal/rate_limits.h
@@ -29,6 +29,8 @@
                                 kernel::TimePoint now) override;
   void OnResponse(const std::string& endpoint, std::optional<double> per_second,
                   kernel::TimePoint sent_at, kernel::TimePoint now) override;
+  void SetLimit(const std::string& resource, std::optional<double> per_second,
+                kernel::TimePoint now) override;
   void Subscribe(std::function<void(kernel::TimePoint)> on_permits) override;
 
   void OnLinkUp(const link::LinkPtr& link, kernel::TimePoint now) override;
--- a/src/limits/internal/shared_rate_limits.cc
+++ b/src/limits/internal/shared_rate_limits.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "limits/i_rate_limits.h"
+
 namespace banyanlane::limits {
 namespace {
 
@@ -54,6 +56,19 @@
                   std::nullopt);
 }
 
+void SharedRateLimits::SetLimit(const std::string& resource,
+                                std::optional<double> per_second,
+                                kernel::TimePoint now) {
+  const auto found = this->known.find(resource);
+  if (found == this->known.end() && !per_second) return;
+  kernel::TimePoint observed_at = now;
+  if (found != this->known.end()) {
+    observed_at = std::max(observed_at, found->second.observed_at +
+                                            kernel::TimePoint::duration(1));
+  }
+  this->Observe(resource, per_second.value_or(0), observed_at, now);
+}
+
 bool SharedRateLimits::IsOutdated(const Limit& limit, bool names_limit,
                                   kernel::TimePoint sent_at) {
   const bool is_limited = limit.per_second > 0;
@@ -98,7 +113,8 @@
 
 void SharedRateLimits::Retain(const std::set<std::string>& endpoints) {
   for (auto it = this->known.begin(); it != this->known.end();) {
-    const bool is_kept = endpoints.count(it->first) != 0;
+    const bool is_kept =
+        IsWorkResource(it->first) || endpoints.count(it->first) != 0;
     it = is_kept ? std::next(it) : this->known.erase(it);
   }
 }
@@ -123,8 +139,10 @@
 
 void SharedRateLimits::OnLinkUp(std::uint64_t link, kernel::TimePoint now) {
   this->links.insert(link);
-  for (const auto& [endpoint, limit] : this->known)
-    this->outgoing.push_back({link, NewsOf(endpoint, limit, now)});
+  for (const auto& [endpoint, limit] : this->known) {
+    if (!IsWorkResource(endpoint))
+      this->outgoing.push_back({link, NewsOf(endpoint, limit, now)});
+  }
   const link::Coordinator current = this->election.Current();
   if (current.candidate != 0) this->outgoing.push_back({link, current});
 }
--- a/src/limits/internal/shared_rate_limits.h
+++ b/src/limits/internal/shared_rate_limits.h
@@ -74,7 +74,11 @@
   void OnSent(const std::string& endpoint, kernel::TimePoint now);
   void OnResponse(const std::string& endpoint, std::optional<double> per_second,
                   kernel::TimePoint sent_at, kernel::TimePoint now);
-  /// Forgets the limits of all other endpoints.
+  /// Limits the attempts at some work, or ends the limit. The other gateways
+  /// are not told, since each knows it by itself.
+  void SetLimit(const std::string& resource, std::optional<double> per_second,
+                kernel::TimePoint now);
+  /// Forgets the limits of all other endpoints, but not those of work.
   void Retain(const std::set<std::string>& endpoints);
 
   void OnLinkUp(std::uint64_t link, kernel::TimePoint now);
