Update the status of work whose crashes other work explains

Cause: Explain took crashes from the records of work that is begun more often, but left its status, so that sound work stayed quarantined or doubtful until an attempt survived. Change: the status follows the crashes that are left.

--- a/src/evidence/crash_attribution.h
+++ b/src/evidence/crash_attribution.h
@@ -174,7 +174,8 @@
                    const std::string& crash) const;
   /// Removes the crashes of the quarantined work of `culprit` from the records
   /// of work that is begun more often.
-  void Explain(const std::string& key, const Record& culprit);
+  void Explain(const std::string& key, const Record& culprit,
+               kernel::TimePoint now);
   kernel::Millis QuarantineTime(const std::string& key,
                                 const Record& record) const;
   /// Adds a crash unless it is explained.
--- a/src/evidence/internal/crash_attribution.cc
+++ b/src/evidence/internal/crash_attribution.cc
@@ -149,12 +149,14 @@
 }
 
 void CrashAttribution::Explain(const std::string& culprit_key,
-                               const Record& culprit) {
+                               const Record& culprit, kernel::TimePoint now) {
   const std::int64_t begun = this->BegunOf(culprit_key, culprit);
   for (const std::string& crash : culprit.work.Crashes()) {
     this->explained.emplace(crash, ExplainedCrash{begun, culprit.expires_at});
     for (auto& [key, record] : this->records) {
-      if (this->BegunOf(key, record) > begun) record.work.RemoveCrash(crash);
+      const bool is_explained =
+          this->BegunOf(key, record) > begun && record.work.RemoveCrash(crash);
+      if (is_explained) this->UpdateStatus(key, record, now);
     }
   }
 }
@@ -220,7 +222,7 @@
   record.quarantined_until = now + this->QuarantineTime(key, record);
   ++record.quarantines;
   this->SetStatus(key, record, WorkStatus::kQuarantined);
-  this->Explain(key, record);
+  this->Explain(key, record, now);
 }
 
 void CrashAttribution::UpdateStatus(const std::string& key, Record& record,
--- a/src/evidence/tests/crash_attribution_test.cc
+++ b/src/evidence/tests/crash_attribution_test.cc
@@ -361,6 +361,18 @@
   cr_assert_not(IsQuarantined(gateway, "first"));
 }
 
+Test(crash_attribution, needs_no_permit_once_other_work_explains_the_crashes) {
+  CrashAttribution gateway = Gateway();
+  for (const char* crash : {"c1", "c2", "c3"}) Crash(gateway, {"first"}, crash);
+  gateway.RecordBegun({"first"}, kNow, kNow);
+  CrashAttribution other = Gateway("g2");
+  for (const char* crash : {"c1", "c2", "c3"})
+    Send(Crash(other, {"poison"}, crash), gateway);
+  cr_assert(IsQuarantined(gateway, "poison"));
+  cr_assert_not(IsQuarantined(gateway, "first"));
+  cr_assert(gateway.All(kNow).size() == 1, "no crash is left of the other");
+}
+
 Test(crash_attribution, finds_work_that_crashes_endpoints_among_many_others) {
   CrashAttribution gateway = Gateway();
   const std::size_t bound = AttributionLimits{}.max_records;
