Return to a rested endpoint slowly, and name the end of the rest of the only one

Cause: responses that arrived in the rest, to requests from before, raised the number of requests that the endpoint got at once after it; and a request that the only endpoint had turned away was told to come back after 0.3 s, in the rest. Change: responses count from the end of the rest; no_endpoint names the end of the rest too.

--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -134,7 +134,8 @@
 void DirectFlow::WaitForCapacity(kernel::TimePoint now) {
   const std::string& service = this->request.service;
   if (!this->context.pool.HasEndpoints(service, this->tried_endpoints, now)) {
-    this->FailRequest("no_endpoint", this->context.limits.retry_after);
+    this->FailRequest("no_endpoint", this->context.limits.retry_after,
+                      this->RestLeft(now));
     return;
   }
   const kernel::Millis max_wait = this->MaxWait(now);
--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -123,7 +123,8 @@
     this->actions.push_back(ReportBegun{this->attempt_began_at});
     this->context.pool.OnFirstEvent(*this->endpoint,
                                     std::chrono::duration_cast<kernel::Millis>(
-                                        now - this->attempt_began_at));
+                                        now - this->attempt_began_at),
+                                    now);
   }
   if (now - this->first_event_at >= this->context.limits.survival_time)
     this->ReportEndpointSurvived();
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -351,7 +351,7 @@
     this->OnFailure(endpoint, now);
   if (result == AttemptResult::kCompleted) {
     endpoint.consecutive_failures = 0;
-    found->rests.OnResponse(choice.id);
+    found->rests.OnResponse(choice.id, now);
     CountProgress(*found, now);
   }
   // A rest says nothing about the other endpoints of the service.
@@ -377,11 +377,11 @@
 }
 
 void EndpointPool::OnFirstEvent(const EndpointChoice& choice,
-                                kernel::Millis elapsed) {
+                                kernel::Millis elapsed, kernel::TimePoint now) {
   const auto found = this->Find(choice.service);
   if (!found) return;
   const std::lock_guard<std::mutex> lock(found->mutex);
-  found->rests.OnResponse(choice.id);
+  found->rests.OnResponse(choice.id, now);
   double& mean = found->mean_first_event_ms;
   const auto millis = static_cast<double>(elapsed.count());
   mean = mean > 0 ? mean + kFirstEventWeight * (millis - mean) : millis;
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -172,7 +172,8 @@
   void OnProgress(const EndpointChoice& choice, kernel::TimePoint now);
 
   /// Records the time from the beginning of an attempt to its first event.
-  void OnFirstEvent(const EndpointChoice& choice, kernel::Millis elapsed);
+  void OnFirstEvent(const EndpointChoice& choice, kernel::Millis elapsed,
+                    kernel::TimePoint now);
 
   /// Returns the mean time from the beginning of an attempt to its first event,
   /// over recent attempts at all endpoints of `service`, or 0 if none is known.
--- a/src/direct/internal/endpoint_rests.cc
+++ b/src/direct/internal/endpoint_rests.cc
@@ -35,9 +35,9 @@
   }
 }
 
-void EndpointRests::OnResponse(const std::string& id) {
+void EndpointRests::OnResponse(const std::string& id, kernel::TimePoint now) {
   const auto found = this->rests.find(id);
-  if (found == this->rests.end()) return;
+  if (found == this->rests.end() || now < found->second.until) return;
   found->second.max_in_flight =
       std::min(found->second.max_in_flight * 2, kFullUse);
 }
--- a/src/direct/internal/endpoint_rests.h
+++ b/src/direct/internal/endpoint_rests.h
@@ -38,8 +38,9 @@
                kernel::Millis rest, std::minstd_rand& random,
                kernel::TimePoint now);
 
-  /// Records that an endpoint has responded to a request that it ran.
-  void OnResponse(const std::string& id);
+  /// Records that an endpoint has responded to a request that it ran. Responses
+  /// during its rest do not count.
+  void OnResponse(const std::string& id, kernel::TimePoint now);
 
   /// Returns the end of an endpoint's rest, or nothing if it has none.
   std::optional<kernel::TimePoint> RestingUntil(const std::string& id,
--- a/src/direct/tests/direct_flow_test.cc
+++ b/src/direct/tests/direct_flow_test.cc
@@ -154,7 +154,7 @@
     harness.Apply(harness.flow->Start(kStart));
     const auto other = harness.pool.Choose(
         "model", {harness.Last<CallEndpoint>()->endpoint.id}, kStart);
-    harness.pool.OnFirstEvent(*other, Millis(first_event_ms));
+    harness.pool.OnFirstEvent(*other, Millis(first_event_ms), kStart);
     harness.pool.OnProgress(*other, stalled);
     harness.Apply(harness.flow->OnTimer(stalled));
     cr_expect_eq(harness.Count<CallEndpoint>(), first_event_ms < 400 ? 2 : 1,
--- a/src/direct/tests/endpoint_rests_test.cc
+++ b/src/direct/tests/endpoint_rests_test.cc
@@ -95,13 +95,28 @@
   const TimePoint after = kStart + kRest + kSoon;
   cr_assert(harness.MaySend(0, after));
   cr_assert_not(harness.MaySend(1, after));
-  harness.rests.OnResponse("e");
+  harness.rests.OnResponse("e", after);
   cr_assert(harness.MaySend(1, after));
   cr_assert_not(harness.MaySend(2, after));
-  for (int i = 0; i < 10; ++i) harness.rests.OnResponse("e");
+  for (int i = 0; i < 10; ++i) harness.rests.OnResponse("e", after);
   cr_assert(harness.MaySend(1'000, after));
 }
 
+Test(endpoint_rests, returns_with_one_request_also_after_late_responses) {
+  Harness harness;
+  harness.Ask(kRest, kStart);
+  for (int i = 0; i < 10; ++i)
+    harness.rests.OnResponse("e", kStart + kRest / 2);
+  cr_assert_not(harness.MaySend(1, kStart + kRest + kSoon));
+}
+
+Test(endpoint_rests, names_the_end_of_its_rest_when_there_is_no_other) {
+  FlowHarness harness(false, true, 1);
+  harness.Apply(harness.flow->Start(kStart));
+  harness.Apply(harness.flow->OnHead(1, RefusalOf(kRest), kStart));
+  cr_assert_geq(harness.Last<SendRefusal>()->retry_after_ms, kRest.count());
+}
+
 Test(endpoint_rests, keeps_a_very_long_rest_without_overflow) {
   Harness harness;
   harness.Ask(Millis::max(), kStart);
