Order the news of limits by a number instead of the time of arrival

Callers would have seen gateways that forward news instead of requests, and a limit that holds at some gateways only. Cause: news of a limit had the age of the endpoint's response, which no gateway on the way raised. A gateway took what arrived later for newer. If a limit was named and ended within the time that news need over the links, both went round and replaced each other for good. The end is remembered while the endpoint is listed; the election still ends 10 s after the last limit.

--- a/src/limits/internal/shared_rate_limits.cc
+++ b/src/limits/internal/shared_rate_limits.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "limits/i_rate_limits.h"
 
@@ -10,6 +11,12 @@
 
 constexpr double kMilliPerUnit = 1'000;
 
+/// Returns the thousandths that are announced. Rounded up, since 0 is the end
+/// of a limit.
+double ToMilli(double per_second) {
+  return std::ceil(per_second * kMilliPerUnit);
+}
+
 }  // namespace
 
 bool SharedRateLimits::IsLimited(const std::string& endpoint) const {
@@ -51,22 +58,26 @@
       found != this->known.end() &&
       IsOutdated(found->second, per_second.has_value(), sent_at);
   if (is_outdated) return;
-  if (!this->Observe(endpoint, per_second.value_or(0), now, now)) return;
-  this->SendToAll(NewsOf(endpoint, this->known.at(endpoint), now),
-                  std::nullopt);
+  Limit& limit = this->known[endpoint];
+  const bool was_limited = limit.per_second > 0;
+  this->Set(limit, per_second.value_or(0), now);
+  const double change = std::abs(limit.per_second - limit.announced_per_second);
+  const bool is_announced =
+      was_limited == per_second.has_value() &&
+      change <= this->limits.min_change * limit.announced_per_second;
+  if (is_announced) return;
+  limit.announced_per_second = ToMilli(limit.per_second) / kMilliPerUnit;
+  ++limit.sequence;
+  this->changes.emplace_back(endpoint, limit.per_second);
+  this->SendToAll(NewsOf(endpoint, limit), std::nullopt);
 }
 
 void SharedRateLimits::SetLimit(const std::string& resource,
                                 std::optional<double> per_second,
                                 kernel::TimePoint now) {
-  const auto found = this->known.find(resource);
-  if (found == this->known.end() && !per_second) return;
-  kernel::TimePoint observed_at = now;
-  if (found != this->known.end()) {
-    observed_at = std::max(observed_at, found->second.observed_at +
-                                            kernel::TimePoint::duration(1));
-  }
-  this->Observe(resource, per_second.value_or(0), observed_at, now);
+  const bool is_known = this->known.count(resource) != 0;
+  if (!is_known && !per_second) return;
+  this->Set(this->known[resource], per_second.value_or(0), now);
 }
 
 bool SharedRateLimits::IsOutdated(const Limit& limit, bool names_limit,
@@ -78,16 +89,13 @@
   return sent_at < changed_at;
 }
 
-bool SharedRateLimits::Observe(const std::string& endpoint, double per_second,
-                               kernel::TimePoint observed_at,
-                               kernel::TimePoint now) {
-  const auto [found, is_new] = this->known.try_emplace(endpoint);
-  Limit& limit = found->second;
-  if (!is_new && observed_at <= limit.observed_at) return false;
-  limit.observed_at = observed_at;
+void SharedRateLimits::Set(Limit& limit, double per_second,
+                           kernel::TimePoint now) {
   const bool was_limited = limit.per_second > 0;
   const bool is_limited = per_second > 0;
+  limit.observed_at = now;
   limit.per_second = per_second;
+  this->has_limits = true;
   if (is_limited && !was_limited) {
     limit.named_at = now;
     limit.refilled_at = now;
@@ -101,33 +109,23 @@
     limit.wanted = 0;
     this->permits_changed = true;
   }
-  const double change = std::abs(per_second - limit.announced_per_second);
-  const bool is_announced =
-      was_limited == is_limited &&
-      change <= this->limits.min_change * limit.announced_per_second;
-  if (is_announced) return false;
-  limit.announced_per_second = per_second;
-  this->changes.emplace_back(endpoint, per_second);
-  return true;
 }
 
 void SharedRateLimits::Retain(const std::set<std::string>& endpoints) {
   for (auto it = this->known.begin(); it != this->known.end();) {
-    const bool is_kept =
-        IsWorkResource(it->first) || endpoints.count(it->first) != 0;
+    const bool is_limited_work =
+        IsWorkResource(it->first) && it->second.per_second > 0;
+    const bool is_kept = is_limited_work || endpoints.count(it->first) != 0;
     it = is_kept ? std::next(it) : this->known.erase(it);
   }
 }
 
 link::RateLimit SharedRateLimits::NewsOf(const std::string& endpoint,
-                                         const Limit& limit,
-                                         kernel::TimePoint now) {
-  const auto age = kernel::MillisBetween(limit.observed_at, now);
-  // Rounded up, since 0 is the end of a limit.
-  return {
-      endpoint,
-      static_cast<std::uint64_t>(std::ceil(limit.per_second * kMilliPerUnit)),
-      static_cast<std::uint64_t>(std::max<std::int64_t>(0, age))};
+                                         const Limit& limit) {
+  return {endpoint,
+          static_cast<std::uint64_t>(
+              std::llround(limit.announced_per_second * kMilliPerUnit)),
+          limit.sequence};
 }
 
 void SharedRateLimits::SendToAll(const link::Message& message,
@@ -137,11 +135,11 @@
   }
 }
 
-void SharedRateLimits::OnLinkUp(std::uint64_t link, kernel::TimePoint now) {
+void SharedRateLimits::OnLinkUp(std::uint64_t link, kernel::TimePoint /*now*/) {
   this->links.insert(link);
   for (const auto& [endpoint, limit] : this->known) {
     if (!IsWorkResource(endpoint))
-      this->outgoing.push_back({link, NewsOf(endpoint, limit, now)});
+      this->outgoing.push_back({link, NewsOf(endpoint, limit)});
   }
   const link::Coordinator current = this->election.Current();
   if (current.candidate != 0) this->outgoing.push_back({link, current});
@@ -164,12 +162,19 @@
 void SharedRateLimits::OnMessage(std::uint64_t link,
                                  const link::RateLimit& message,
                                  kernel::TimePoint now) {
-  const auto observed_at =
-      now - kernel::Millis(static_cast<std::int64_t>(message.age_ms));
   const double per_second =
       static_cast<double>(message.milli_per_second) / kMilliPerUnit;
-  if (per_second <= 0 && !this->IsLimited(message.endpoint)) return;
-  if (!this->Observe(message.endpoint, per_second, observed_at, now)) return;
+  Limit& limit = this->known[message.endpoint];
+  // Of two news with the same number, which different gateways have sent, all
+  // keep the higher limit.
+  const bool is_news = std::tie(message.sequence, per_second) >
+                       std::tie(limit.sequence, limit.announced_per_second);
+  if (!is_news) return;
+  limit.sequence = message.sequence;
+  limit.announced_per_second = per_second;
+  if (per_second != limit.per_second)
+    this->changes.emplace_back(message.endpoint, per_second);
+  this->Set(limit, per_second, now);
   this->SendToAll(message, link);
 }
 
@@ -280,24 +285,24 @@
   if (const auto news = this->election.Step(now))
     this->SendToAll(*news, std::nullopt);
   const bool may_act = this->election.MayAct(now);
-  for (auto it = this->known.begin(); it != this->known.end();) {
-    Limit& limit = it->second;
+  this->has_limits = false;
+  for (auto& [name, limit] : this->known) {
     const bool has_ended = limit.per_second <= 0;
-    const bool is_forgotten =
-        has_ended && now - limit.observed_at > this->limits.end_memory;
-    if (!has_ended) {
-      DropExpired(limit, now);
-      this->EnqueueOwn(limit, now);
-      if (may_act) this->HandOut(it->first, limit, now);
-      if (!may_act) {
-        limit.tokens = 0;
-        limit.refilled_at = now;
-        this->RequestPermits(it->first, limit, now);
-      }
+    const bool is_remembered =
+        now - limit.observed_at <= this->limits.end_memory;
+    if (!has_ended || is_remembered) this->has_limits = true;
+    if (has_ended) continue;
+    DropExpired(limit, now);
+    this->EnqueueOwn(limit, now);
+    if (may_act) {
+      this->HandOut(name, limit, now);
+      continue;
     }
-    it = is_forgotten ? this->known.erase(it) : std::next(it);
+    limit.tokens = 0;
+    limit.refilled_at = now;
+    this->RequestPermits(name, limit, now);
   }
-  if (this->known.empty()) this->election.Leave();
+  if (!this->has_limits) this->election.Leave();
 }
 
 std::vector<SharedRateLimits::Outgoing> SharedRateLimits::TakeMessages() {
--- a/src/limits/internal/shared_rate_limits.h
+++ b/src/limits/internal/shared_rate_limits.h
@@ -30,8 +30,8 @@
   double request_s = 0.5;
   /// A smaller change of a limit, relative to it, is not announced.
   double min_change = 0.05;
-  /// Time for which the end of a limit is remembered, so that older news of the
-  /// limit are recognised.
+  /// Time after the end of the last limit for which gateways remain ready to
+  /// hand out permits.
   kernel::Millis end_memory{10'000};
   ElectionLimits election;
 };
@@ -64,7 +64,7 @@
   /// Returns whether an endpoint has a limit, or had one recently, or this
   /// gateway takes part in an election.
   bool IsActive() const {
-    return !this->known.empty() || this->election.Current().candidate != 0;
+    return this->has_limits || this->election.Current().candidate != 0;
   }
   bool IsLimited(const std::string& endpoint) const;
   /// Returns the limit in requests a second, or nothing.
@@ -78,7 +78,8 @@
   /// are not told, since each knows it by itself.
   void SetLimit(const std::string& resource, std::optional<double> per_second,
                 kernel::TimePoint now);
-  /// Forgets the limits of all other endpoints, but not those of work.
+  /// Forgets the limits of all other endpoints, and those of work that have
+  /// ended.
   void Retain(const std::set<std::string>& endpoints);
 
   void OnLinkUp(std::uint64_t link, kernel::TimePoint now);
@@ -113,8 +114,10 @@
   };
   struct Limit {
     double per_second = 0;  ///< 0 if the endpoint has ended its limit.
-    /// Limit that the other gateways were told last.
+    /// Limit that the other gateways were told last, and the number of that
+    /// news.
     double announced_per_second = 0;
+    std::uint64_t sequence = 0;
     /// When the endpoint first named a limit that has not ended.
     kernel::TimePoint named_at;
     /// Time of the response that is known last.
@@ -132,14 +135,12 @@
   /// is known, because its request was sent before that.
   static bool IsOutdated(const Limit& limit, bool names_limit,
                          kernel::TimePoint sent_at);
-  /// Records what a response to this or another gateway said.
-  /// @return whether to tell other gateways.
-  bool Observe(const std::string& endpoint, double per_second,
-               kernel::TimePoint observed_at, kernel::TimePoint now);
+  /// Sets a limit in requests a second; 0 ends it.
+  void Set(Limit& limit, double per_second, kernel::TimePoint now);
   void SendToAll(const link::Message& message,
                  std::optional<std::uint64_t> except);
-  static link::RateLimit NewsOf(const std::string& endpoint, const Limit& limit,
-                                kernel::TimePoint now);
+  static link::RateLimit NewsOf(const std::string& endpoint,
+                                const Limit& limit);
   void EnqueueOwn(Limit& limit, kernel::TimePoint now) const;
   void Enqueue(Limit& limit, std::optional<std::uint64_t> link, int count,
                kernel::TimePoint now) const;
@@ -156,6 +157,8 @@
   double reach = 1;
   std::set<std::uint64_t> links;
   std::map<std::string, Limit> known;  ///< Limits and their ends, by endpoint.
+  /// An endpoint has a limit, or has ended one within PermitLimits::end_memory.
+  bool has_limits = false;
   std::vector<Outgoing> outgoing;
   std::vector<std::pair<std::string, double>> changes;
   bool permits_changed = false;
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -524,11 +524,13 @@
   std::string endpoint;
   /// Thousandths of a request a second; 0 if the endpoint has no limit.
   std::uint64_t milli_per_second = 0;
-  std::uint64_t age_ms = 0;  ///< Time since the endpoint's response.
+  /// Grows with each change of the limit that gateways announce. Of two news of
+  /// one endpoint the higher number is valid.
+  std::uint64_t sequence = 0;
 
   template <typename Visitor>
   void Visit(Visitor& visit) {
-    visit(this->endpoint, this->milli_per_second, this->age_ms);
+    visit(this->endpoint, this->milli_per_second, this->sequence);
   }
 };
 
