--- a/src/evidence/crash_attribution.h
+++ b/src/evidence/crash_attribution.h
@@ -63,7 +63,7 @@
   /// Endpoints have crashed while they ran it, perhaps all by one event, and
   /// none has survived it since.
   kDoubtful,
-  /// It crashes endpoints.
+  /// Crashes followed one another without a survival. The work is refused.
   kQuarantined,
 };
 
@@ -165,8 +165,9 @@
   /// Counts an attempt that endpoints have begun to respond to.
   void CountBegun(const std::string& key);
   void BeginWindow(kernel::TimePoint now);
-  /// Returns the number of recently begun attempts: those at this gateway, also
-  /// from before the first crash, and those at others since then.
+  /// Returns how often the work is begun, to compare it with other work: the
+  /// recent attempts at this gateway, also from before the first crash, and
+  /// those at all gateways since then.
   std::int64_t BegunOf(const std::string& key, const Record& record) const;
   /// Returns whether a crash is explained by quarantined work that is begun
   /// less often than that of `record`.
--- a/src/limits/i_rate_limits.h
+++ b/src/limits/i_rate_limits.h
@@ -3,18 +3,23 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "kernel/time.h"
 
 namespace banyanlane::limits {
 
+/// Prefix of the names under which the attempts at some work are limited. No id
+/// of an endpoint begins with it.
+inline constexpr std::string_view kWorkPrefix = "work/";
+
 /// Returns the name under which the attempts at some work are limited.
 inline std::string WorkResource(const std::string& work) {
-  return "work/" + work;
+  return std::string(kWorkPrefix) + work;
 }
 /// Returns whether `name` is such a name, and not the id of an endpoint.
-inline bool IsWorkResource(const std::string& name) {
-  return name.rfind("work/", 0) == 0;
+inline bool IsWorkResource(std::string_view name) {
+  return name.substr(0, kWorkPrefix.size()) == kWorkPrefix;
 }
 
 /// Permits for endpoints that have named a limit for the requests of all
--- a/src/limits/internal/shared_rate_limits.cc
+++ b/src/limits/internal/shared_rate_limits.cc
@@ -165,8 +165,8 @@
   const double per_second =
       static_cast<double>(message.milli_per_second) / kMilliPerUnit;
   Limit& limit = this->known[message.endpoint];
-  // Of two news with the same number, which different gateways have sent, all
-  // keep the higher limit.
+  // News with the same number come from different gateways; all keep the higher
+  // limit.
   const bool is_news = std::tie(message.sequence, per_second) >
                        std::tie(limit.sequence, limit.announced_per_second);
   if (!is_news) return;
