--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -45,9 +45,9 @@
 /// name as the limit of all callers together; an empty body ends the limit.
 /// PUT /control/refuse lets it refuse all requests with status 503 and the body
 /// as Retry-After, as not run unless the query has "unproven"; an empty body
-/// ends that. PUT /control/leaving with the body "1" lets its responses say that
-/// it leaves. /control/arrivals returns the number of requests since the start,
-/// refused ones included.
+/// ends that. PUT /control/leaving with the body "1" lets its responses say
+/// that it leaves. /control/arrivals returns the number of requests since the
+/// start, refused ones included.
 /// @param id instance id in the list of endpoints.
 std::shared_ptr<http::IHttpHandler> MakeServer(const std::string& id);
 
