Start the fleets of gateway tests in one place

Cause: three tests started a store, servers and gateways and awaited them with the same lines. Change: GatewayFleet::StartAll; no check changed.

--- a/tests/processes/gateway_fleet.cc
+++ b/tests/processes/gateway_fleet.cc
@@ -1,5 +1,7 @@
 #include "processes/gateway_fleet.h"
 
+#include <criterion/criterion.h>
+
 #include <nlohmann/json.hpp>
 
 namespace banyanlane::processes {
@@ -24,6 +26,21 @@
 
 }  // namespace
 
+void GatewayFleet::StartAll(const std::vector<std::string>& servers,
+                            const std::vector<std::string>& gateways) {
+  this->StartStore();
+  for (const std::string& server : servers) this->AddServer(server);
+  this->PublishRoutes(1, {});
+  for (const std::string& gateway : gateways) this->AddGateway(gateway);
+  for (const std::string& gateway : gateways) {
+    cr_assert(this->AwaitServed(gateway, "/plain/a"));
+    for (const std::string& server : servers) {
+      cr_assert(
+          Await([&] { return this->ListsServer(gateway, server, "live"); }));
+    }
+  }
+}
+
 void GatewayFleet::StartStore() {
   this->AllocateAddress("store");
   this->Spawn("store", {Binary("standin"), "store",
--- a/tests/processes/gateway_fleet.h
+++ b/tests/processes/gateway_fleet.h
@@ -12,6 +12,10 @@
 /// servers.
 class GatewayFleet : public Fleet {
  public:
+  /// Starts the store, servers and gateways, and waits until each gateway
+  /// serves requests and lists all servers.
+  void StartAll(const std::vector<std::string>& servers,
+                const std::vector<std::string>& gateways);
   /// Starts the store without items.
   void StartStore();
   /// Writes an item of the store.
--- a/tests/processes/gateway_leaving_test.cc
+++ b/tests/processes/gateway_leaving_test.cc
@@ -9,18 +9,6 @@
 constexpr int kBatch = 40;
 const std::vector<std::string> kServers = {"s1", "s2"};
 
-void StartFleet(GatewayFleet& fleet) {
-  fleet.StartStore();
-  for (const std::string& server : kServers) fleet.AddServer(server);
-  fleet.PublishRoutes(1, {});
-  fleet.AddGateway("g1");
-  cr_assert(fleet.AwaitServed("g1", "/plain/a"));
-  for (const std::string& server : kServers) {
-    cr_assert(
-        Fleet::Await([&] { return fleet.ListsServer("g1", server, "live"); }));
-  }
-}
-
 /// Lets s1 say that it leaves, and sends requests until a response has said so.
 void AwaitLeaving(GatewayFleet& fleet) {
   fleet.SetLeaving("s1", true);
@@ -45,7 +33,7 @@
 
 Test(gateway_leaving, a_server_that_says_so_is_left_while_the_store_lists_it) {
   GatewayFleet fleet;
-  StartFleet(fleet);
+  fleet.StartAll(kServers, {"g1"});
   AwaitLeaving(fleet);
   ExpectUnused(fleet);
   fleet.Register("s1", "ready");
@@ -55,7 +43,7 @@
 
 Test(gateway_leaving, a_server_that_says_so_in_a_refusal_is_left) {
   GatewayFleet fleet;
-  StartFleet(fleet);
+  fleet.StartAll(kServers, {"g1"});
   fleet.Refuse("s1", "0");
   AwaitLeaving(fleet);
   fleet.Refuse("s1", "");
@@ -64,7 +52,7 @@
 
 Test(gateway_leaving, a_server_stays_left_after_a_restore_of_the_store) {
   GatewayFleet fleet;
-  StartFleet(fleet);
+  fleet.StartAll(kServers, {"g1"});
   fleet.CommandStore("copy");
   AwaitLeaving(fleet);
   fleet.Write("servers/s1", "");
@@ -79,7 +67,7 @@
 
 Test(gateway_leaving, a_server_that_starts_again_under_its_id_is_used) {
   GatewayFleet fleet;
-  StartFleet(fleet);
+  fleet.StartAll(kServers, {"g1"});
   AwaitLeaving(fleet);
   fleet.Kill("s1");
   fleet.StartServer("s1");
--- a/tests/processes/gateway_limit_test.cc
+++ b/tests/processes/gateway_limit_test.cc
@@ -20,21 +20,6 @@
 constexpr int kExtra = 5;
 const std::vector<std::string> kGateways = {"g1", "g2", "g3"};
 
-/// Starts three gateways and servers.
-void StartFleet(GatewayFleet& fleet, const std::vector<std::string>& servers) {
-  fleet.StartStore();
-  for (const std::string& server : servers) fleet.AddServer(server);
-  fleet.PublishRoutes(1, {});
-  for (const std::string& gateway : kGateways) fleet.AddGateway(gateway);
-  for (const std::string& gateway : kGateways) {
-    cr_assert(fleet.AwaitServed(gateway, "/plain/a"));
-    for (const std::string& server : servers) {
-      cr_assert(Fleet::Await(
-          [&] { return fleet.ListsServer(gateway, server, "live"); }));
-    }
-  }
-}
-
 /// Sends `count` requests to the gateways in turn.
 /// @return how many of them were served.
 int SendInTurn(GatewayFleet& fleet, int count) {
@@ -57,7 +42,7 @@
 
 Test(gateway_limit, holds_over_all_gateways_and_starves_nobody) {
   GatewayFleet fleet;
-  StartFleet(fleet, {"s1", "s2"});
+  fleet.StartAll({"s1", "s2"}, kGateways);
   fleet.NameLimit("s1", kLimitText);
   // Each gateway gets responses that name the limit.
   SendInTurn(fleet, 2 * kBatch);
@@ -77,7 +62,7 @@
 
 Test(gateway_limit, ends_when_the_server_names_it_no_longer) {
   GatewayFleet fleet;
-  StartFleet(fleet, {"s1", "s2"});
+  fleet.StartAll({"s1", "s2"}, kGateways);
   fleet.NameLimit("s1", kLimitText);
   SendInTurn(fleet, 2 * kBatch);
   const int before = fleet.RunCount("s1");
--- a/tests/processes/gateway_rest_test.cc
+++ b/tests/processes/gateway_rest_test.cc
@@ -13,20 +13,6 @@
 constexpr int kMaxInRest = 2;
 const std::vector<std::string> kServers = {"s1", "s2"};
 
-void StartFleet(GatewayFleet& fleet) {
-  fleet.StartStore();
-  for (const std::string& server : kServers) fleet.AddServer(server);
-  fleet.PublishRoutes(1, {});
-  for (const char* gateway : {"g1", "g2"}) {
-    fleet.AddGateway(gateway);
-    cr_assert(fleet.AwaitServed(gateway, "/plain/a"));
-    for (const std::string& server : kServers) {
-      cr_assert(Fleet::Await(
-          [&] { return fleet.ListsServer(gateway, server, "live"); }));
-    }
-  }
-}
-
 /// Sends requests to a gateway until a server has turned one away.
 /// @return a time before that.
 kernel::TimePoint AwaitRefusal(GatewayFleet& fleet, const std::string& gateway,
@@ -56,7 +42,7 @@
 Test(gateway_rest,
      a_resting_server_gets_nothing_from_the_gateway_that_it_asked) {
   GatewayFleet fleet;
-  StartFleet(fleet);
+  fleet.StartAll(kServers, {"g1", "g2"});
   fleet.Refuse("s1", kRestText);
   const auto since = AwaitRefusal(fleet, "g1", "s1");
   fleet.Refuse("s1", "");
@@ -72,7 +58,7 @@
 
 Test(gateway_rest, holds_after_a_refusal_without_proof_that_nothing_has_run) {
   GatewayFleet fleet;
-  StartFleet(fleet);
+  fleet.StartAll(kServers, {"g1", "g2"});
   fleet.Refuse("s1", kRestText, false);
   const auto since = AwaitRefusal(fleet, "g1", "s1");
   fleet.Refuse("s1", "");
@@ -83,7 +69,7 @@
 
 Test(gateway_rest, does_not_bind_gateways_that_were_not_asked) {
   GatewayFleet fleet;
-  StartFleet(fleet);
+  fleet.StartAll(kServers, {"g1", "g2"});
   fleet.Refuse("s1", "3600");
   AwaitRefusal(fleet, "g1", "s1");
   fleet.Refuse("s1", "");
@@ -96,7 +82,7 @@
 
 Test(gateway_rest, requests_are_refused_with_its_end_while_all_servers_rest) {
   GatewayFleet fleet;
-  StartFleet(fleet);
+  fleet.StartAll(kServers, {"g1", "g2"});
   for (const std::string& server : kServers) fleet.Refuse(server, "3600");
   const int first = fleet.ArrivalCount("s1");
   const int second = fleet.ArrivalCount("s2");
@@ -114,7 +100,7 @@
 
 Test(gateway_rest, a_server_that_starts_again_owes_no_rest) {
   GatewayFleet fleet;
-  StartFleet(fleet);
+  fleet.StartAll(kServers, {"g1", "g2"});
   fleet.Refuse("s1", "3600");
   AwaitRefusal(fleet, "g1", "s1");
   fleet.Kill("s1");
