Log and count why streams are late, and how long the stages of a map switch take

The pause goal of a profile was published and not read.

request_ended now has the time to the first event, the longest pause and the goal that was missed; banyanlane_streams_total counts streams by it, banyanlane_event_pause_millis the pauses, which are the passes of the group. map_changed has the time spent in each stage, the duration of steps and the batch of the leader's engine; banyanlane_engine_running and _queued show the batches of all ranks. No decision changes.

--- a/src/config/profile.h
+++ b/src/config/profile.h
@@ -65,6 +65,9 @@
   bool requires_api_key = false;
   /// Response time up to which a response has its full value.
   std::int64_t latency_goal_ms = 0;
+  /// Longest pause between two events of a stream that has its full value, or
+  /// 0 if the profile names none.
+  std::int64_t pause_goal_ms = 0;
   std::int64_t urgency = 0;  ///< 0 is the most urgent.
 };
 
--- a/src/direct/internal/direct_actions.h
+++ b/src/direct/internal/direct_actions.h
@@ -58,6 +58,11 @@
   kernel::TimePoint sent_at;  ///< When the request was sent.
 };
 
+/// Reports the pause between two events of the stream.
+struct ReportPause {
+  kernel::Millis pause{0};
+};
+
 /// Sends an endpoint's complete response to the caller.
 struct SendResponse {
   http::HttpResponse response;
@@ -95,8 +100,9 @@
 using DirectAction =
     std::variant<CallEndpoint, CancelCall, ReleaseEndpoint,
                  ReportLostConnection, ReportBegun, ReportSurvival,
-                 ReportRateLimit, SendResponse, SendStreamHead, SendEvents,
-                 SendStreamEnd, AbortResponse, SendRefusal, WriteLogEvent>;
+                 ReportRateLimit, ReportPause, SendResponse, SendStreamHead,
+                 SendEvents, SendStreamEnd, AbortResponse, SendRefusal,
+                 WriteLogEvent>;
 using DirectActions = std::vector<DirectAction>;
 
 }  // namespace banyanlane::direct
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -398,16 +398,29 @@
 
 void DirectFlow::Finish(std::string_view outcome) {
   this->state = State::kDone;
-  this->actions.push_back(WriteLogEvent{
-      EventId::kRequestEnded,
-      {{"request", this->request.request_id},
-       {"profile", this->request.profile->name},
-       {"outcome", std::string(outcome)},
-       {"sent", std::to_string(this->sent_attempts)},
-       {"endpoint", this->last_endpoint},
-       {"waited_ms", std::to_string(this->waited_ms)},
-       {"organisation", this->request.organisation},
-       {"revision", std::to_string(this->request.config->revision)}}});
+  kernel::EventFields fields = {
+      {"request", this->request.request_id},
+      {"profile", this->request.profile->name},
+      {"outcome", std::string(outcome)},
+      {"sent", std::to_string(this->sent_attempts)},
+      {"endpoint", this->last_endpoint},
+      {"waited_ms", std::to_string(this->waited_ms)},
+      {"organisation", this->request.organisation},
+      {"revision", std::to_string(this->request.config->revision)}};
+  this->AddProgress(fields);
+  this->actions.push_back(
+      WriteLogEvent{EventId::kRequestEnded, std::move(fields)});
+}
+
+void DirectFlow::AddProgress(kernel::EventFields& fields) const {
+  const auto first = this->progress.FirstEventTime(this->arrived_at);
+  if (!this->request.profile->streaming || !first) return;
+  const StreamLateness lateness =
+      this->progress.Lateness(*this->request.profile, this->arrived_at);
+  fields.emplace_back("first_event_ms", std::to_string(first->count()));
+  fields.emplace_back("longest_pause_ms",
+                      std::to_string(this->progress.longest_pause().count()));
+  fields.emplace_back("late", std::string(StreamLatenessName(lateness)));
 }
 
 std::int64_t DirectFlow::Jittered(kernel::Millis span) {
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -12,6 +12,7 @@
 #include "direct/internal/event_splitter.h"
 #include "direct/internal/request_queue.h"
 #include "direct/internal/retry_allowance.h"
+#include "direct/internal/stream_progress.h"
 #include "evidence/crash_attribution.h"
 #include "http/i_http_runtime.h"
 #include "kernel/time.h"
@@ -180,6 +181,8 @@
   void FailRequest(std::string_view reason, kernel::Millis retry_after,
                    kernel::Millis not_before = kernel::Millis{0});
   void Finish(std::string_view outcome);
+  /// Adds to the fields of request_ended how the stream met its goals.
+  void AddProgress(kernel::EventFields& fields) const;
   std::int64_t Jittered(kernel::Millis span);
   std::int64_t MillisLeft(kernel::TimePoint now) const;
   bool IsCurrent(std::uint64_t number) const;
@@ -221,6 +224,7 @@
   /// Id of the last event that the caller has received.
   std::optional<std::uint64_t> last_delivered_id;
   bool head_sent = false;  ///< The caller has received the head of a stream.
+  StreamProgress progress;
   DirectActions actions;
 };
 
--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -117,6 +117,8 @@
 
 void DirectFlow::OnProgress(kernel::TimePoint now) {
   this->context.pool.OnProgress(*this->endpoint, now);
+  const auto pause = this->progress.OnEvents(now);
+  if (pause) this->actions.push_back(ReportPause{*pause});
   if (!this->attempt_has_events) {
     this->attempt_has_events = true;
     this->first_event_at = now;
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -70,6 +70,12 @@
       this->Count(*log_event);
       continue;
     }
+    if (const auto* report = std::get_if<ReportPause>(&action)) {
+      this->environment.metrics->ObserveMillis(
+          "banyanlane_event_pause_millis",
+          static_cast<double>(report->pause.count()));
+      continue;
+    }
     const bool is_for_endpoint =
         std::holds_alternative<CallEndpoint>(action) ||
         std::holds_alternative<CancelCall>(action) ||
@@ -98,6 +104,10 @@
   this->environment.metrics->Count(
       "banyanlane_requests_total{service=\"" + service + "\",outcome=\"" +
       kernel::FieldOf(log_event.fields, "outcome") + "\"}");
+  const std::string late = kernel::FieldOf(log_event.fields, "late");
+  if (late.empty()) return;
+  this->environment.metrics->Count("banyanlane_streams_total{service=\"" +
+                                   service + "\",late=\"" + late + "\"}");
 }
 
 void DirectRunner::RunActions() {
--- a/src/experts/i_rank_engine.h
+++ b/src/experts/i_rank_engine.h
@@ -43,6 +43,8 @@
   std::optional<std::uint64_t> held_step;
   /// Time per unit of work relative to normal; 2 is twice as slow.
   double slowdown = 1;
+  std::uint64_t running = 0;  ///< Requests in the rank's batch.
+  std::uint64_t queued = 0;   ///< Requests that wait for a place in it.
 };
 
 /// Number of times that the rank's tokens selected each expert since the rank
--- a/src/experts/internal/group_leader.cc
+++ b/src/experts/internal/group_leader.cc
@@ -163,6 +163,9 @@
 }
 
 void GroupLeader::EnterStage(Stage next, kernel::TimePoint now) {
+  if (this->stage == Stage::kIdle) this->stage_times.clear();
+  this->stage_times[this->stage] +=
+      std::chrono::duration_cast<kernel::Millis>(now - this->stage_entered_at);
   this->stage = next;
   this->stage_entered_at = now;
   this->must_send = true;
@@ -436,12 +439,7 @@
       if (this->AllRanks([](const RankStatus& status) {
             return status.armed_version == 0;
           })) {
-        this->events.emplace_back(
-            EventId::kMapChanged,
-            kernel::EventFields{
-                {"group", this->group},
-                {"version", std::to_string(this->target_version)},
-                {"step", std::to_string(this->switch_step)}});
+        this->ReportMapChanged(now);
         this->plan.reset();
         this->next_plan_at = now;
         this->EnterStage(Stage::kIdle, now);
@@ -467,6 +465,27 @@
   }
 }
 
+void GroupLeader::ReportMapChanged(kernel::TimePoint now) {
+  kernel::EventFields fields = {
+      {"group", this->group},
+      {"version", std::to_string(this->target_version)},
+      {"step", std::to_string(this->switch_step)},
+      {"step_ms", std::to_string(this->mean_step_ms)}};
+  const auto add = [&](const char* name, Stage stage) {
+    const auto found = this->stage_times.find(stage);
+    if (found != this->stage_times.end())
+      fields.emplace_back(name, std::to_string(found->second.count()));
+  };
+  add("following_ms", Stage::kFollowing);
+  add("preparing_ms", Stage::kPreparing);
+  add("holding_ms", Stage::kHolding);
+  add("arming_ms", Stage::kArming);
+  add("releasing_ms", Stage::kReleasing);
+  fields.emplace_back("switching_ms", std::to_string(kernel::MillisBetween(
+                                          this->stage_entered_at, now)));
+  this->events.emplace_back(EventId::kMapChanged, std::move(fields));
+}
+
 void GroupLeader::Abandon(std::string_view reason, kernel::TimePoint now) {
   this->abandon_version = this->NextVersion();
   this->events.emplace_back(
--- a/src/experts/internal/group_leader.h
+++ b/src/experts/internal/group_leader.h
@@ -166,6 +166,8 @@
   void BeginHolding(std::uint64_t own_rank, kernel::TimePoint now);
   void Advance(std::uint64_t own_rank, kernel::TimePoint now);
   void AdvanceHolding(std::uint64_t own_rank, kernel::TimePoint now);
+  /// Reports the end of a switch, with the time spent in each stage.
+  void ReportMapChanged(kernel::TimePoint now);
   void Abandon(std::string_view reason, kernel::TimePoint now);
   void CancelAttempt(std::string_view reason, kernel::TimePoint now);
   void EnterStage(Stage next, kernel::TimePoint now);
@@ -218,6 +220,8 @@
 
   Stage stage = Stage::kIdle;
   kernel::TimePoint stage_entered_at;
+  /// Time spent in each stage since the attempt began.
+  std::map<Stage, kernel::Millis> stage_times;
   kernel::TimePoint commands_sent_at;
   kernel::TimePoint next_plan_at;
   bool must_send = false;
--- a/src/experts/internal/rank_service.cc
+++ b/src/experts/internal/rank_service.cc
@@ -119,7 +119,7 @@
   Outbox outbox;
   bool is_leader = false;
   bool must_publish = false;
-  double slowdown = 1;
+  RankReport engine_report;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->controller->Tick(now);
@@ -128,21 +128,25 @@
     this->SendStatus(outbox, now);
     if (this->is_leading) this->RunLeader(outbox, now);
     is_leader = this->is_leading;
-    if (this->report) slowdown = this->report->slowdown;
+    if (this->report) engine_report = *this->report;
     must_publish = now >= this->next_publish_at;
     if (must_publish) this->next_publish_at = now + this->limits.publish_period;
   }
   SendAll(outbox);
-  if (must_publish) this->Publish(is_leader, slowdown);
+  if (must_publish) this->Publish(is_leader, engine_report);
 }
 
-void RankService::Publish(bool is_leader, double slowdown) {
+void RankService::Publish(bool is_leader, const RankReport& engine) {
   peers::LocalState state;
   state.ready = true;
   state.engine_address = this->engine_address;
-  state.engine_slowdown = slowdown;
+  state.engine_slowdown = engine.slowdown;
   this->peers->Publish(std::move(state), kernel::Clock::now());
-  this->metrics->SetGauge("banyanlane_engine_pace", slowdown);
+  this->metrics->SetGauge("banyanlane_engine_pace", engine.slowdown);
+  this->metrics->SetGauge("banyanlane_engine_running",
+                          static_cast<double>(engine.running));
+  this->metrics->SetGauge("banyanlane_engine_queued",
+                          static_cast<double>(engine.queued));
   this->metrics->SetGauge("banyanlane_leads_group", is_leader ? 1 : 0);
   std::vector<std::string> addresses;
   if (is_leader) {
@@ -242,7 +246,9 @@
   for (GroupLeader::OutgoingCommand& outgoing :
        this->leader.OnTick(this->report->rank, now))
     this->SendCommand(std::move(outgoing), outbox, now);
-  for (const auto& [event, fields] : this->leader.TakeEvents()) {
+  for (auto& [event, fields] : this->leader.TakeEvents()) {
+    fields.emplace_back("running", std::to_string(this->report->running));
+    fields.emplace_back("queued", std::to_string(this->report->queued));
     kernel::LogEvent(event, fields);
     this->metrics->Count("banyanlane_map_events_total{event=\"" +
                          std::string(kernel::EventName(event)) + "\"}");
--- a/src/experts/internal/rank_service.h
+++ b/src/experts/internal/rank_service.h
@@ -89,7 +89,8 @@
   void SendStatus(Outbox& outbox, kernel::TimePoint now);
   /// Publishes the engine's state to the gateways, and keeps links to all ranks
   /// while this process leads.
-  void Publish(bool is_leader, double slowdown);
+  /// @param engine last report of the engine, or a default one.
+  void Publish(bool is_leader, const RankReport& engine);
   static void SendAll(const Outbox& outbox);
 
   std::string node;
