--- a/src/experts/tests/simulated_group.cc
+++ b/src/experts/tests/simulated_group.cc
@@ -15,7 +15,6 @@
 constexpr Millis kStepPeriod{60};
 constexpr Millis kLinkDelay{1};
 constexpr Millis kEngineDelay{1};
-constexpr Millis kCopyTime{110};
 constexpr double kSelectionsPerStep = 1'000;
 /// The larger this is, the less the popularity of experts differs.
 constexpr double kEvenness = 8;
@@ -144,7 +143,7 @@
       this->copying_version = prepare->version;
       this->copied_at =
           this->group.now +
-          kCopyTime * static_cast<int>(this->CopiesFor(prepare->map));
+          this->group.shape.copy_time * static_cast<int>(this->CopiesFor(prepare->map));
     }
     if (const auto* arm = std::get_if<ArmOrder>(&order)) {
       if (this->prepared_version != arm->version || step >= arm->step)
@@ -262,7 +261,8 @@
       GroupLeaderLimits{}, engine, node.peers,
       std::make_shared<kernel::Metrics>(), [this] { return this->now; },
       rank + node.incarnation * this->shape.ranks);
-  node.service->SetBounds(this->shape.max_experts_per_rank, 2, 0);
+  node.service->SetBounds(this->shape.max_experts_per_rank, 2,
+                          static_cast<double>(this->shape.copy_time.count()));
   node.service->Open();
   const Millis offset(static_cast<std::int64_t>(rank) % kTickPeriod.count());
   this->Schedule(offset, [this, rank, incarnation = node.incarnation] {
--- a/src/experts/tests/simulated_group.h
+++ b/src/experts/tests/simulated_group.h
@@ -22,6 +22,8 @@
   std::size_t max_experts_per_rank = 0;
   /// Bytes per second that a machine's link carries in each direction.
   double link_bytes_per_second = 0;
+  /// Time in which a rank copies one expert.
+  kernel::Millis copy_time{110};
 };
 
 /// Rank agents of one group on simulated engines, links and time. Messages are
