Send changes of maps as single edits, so that a large group prepares them sooner

Cause: a change of a rank's list was sent as layer, rank, length and the whole list, 10 bytes, to 72 ranks. A map of 200 changes took 150 KB, of which the first 60 KB go out at 400 KB a second and the rest at 60 KB a second: 1.7 s, for a copy of 16 ms. Change: the distance to the next changed list and one number for each place that changes, about 5 bytes; planned maps keep experts at their places, so that a replaced expert is one edit. The bytes sent ahead of the average are 100 KB, so that the map of a group of 72 ranks fits in them; the link's bound of group_traffic (250 KB a second, delays of 50 ms) is kept.

--- a/src/experts/experts_module.cc
+++ b/src/experts/experts_module.cc
@@ -21,6 +21,9 @@
 /// expert counts, and to send maps. The engine's requests share the link.
 constexpr double kCountsLinkShare = 0.12;
 constexpr double kMapsLinkShare = 0.06;
+/// Bytes of maps that a leader may send ahead of the average, as a part of what
+/// the link carries in a second. A map after a shift of demand fits in it.
+constexpr double kMapsBurstShare = 0.1;
 /// Part of the link that a leader may use while it sends a map.
 constexpr double kMapsPeakLinkShare = 0.4;
 constexpr double kBytesPerMegabit = 125'000;
@@ -41,7 +44,7 @@
     GroupLeaderLimits leader_limits;
     leader_limits.maps.bytes_per_second =
         kMapsLinkShare * link_bytes_per_second;
-    leader_limits.maps.burst_bytes = kMapsLinkShare * link_bytes_per_second;
+    leader_limits.maps.burst_bytes = kMapsBurstShare * link_bytes_per_second;
     leader_limits.maps.peak_bytes_per_second =
         kMapsPeakLinkShare * link_bytes_per_second;
     this->service = std::make_shared<RankService>(
--- a/src/experts/internal/group_leader.cc
+++ b/src/experts/internal/group_leader.cc
@@ -38,7 +38,7 @@
 /// Minimum time over which steps are counted to measure their duration.
 constexpr kernel::Millis kStepMeasurePeriod{250};
 /// Approximate size of one change in a map that is sent as changes.
-constexpr double kBytesPerMapChange = 10;
+constexpr double kBytesPerMapChange = 5;
 constexpr double kMillisPerSecond = 1'000;
 /// A group that has begun no step for this time has no requests.
 constexpr kernel::Millis kIdlePeriod{1'000};
@@ -284,9 +284,14 @@
 }
 
 void GroupLeader::BeginSwitch(SwitchPlan next, kernel::TimePoint now) {
+  this->SetPlan(std::move(next), now);
+  this->BeginAttempt(now);
+}
+
+void GroupLeader::SetPlan(SwitchPlan next, kernel::TimePoint now) {
   this->plan = std::move(next);
+  this->plan->map = AlignWith(this->current.map, std::move(this->plan->map));
   this->planned_at = now;
-  this->BeginAttempt(now);
 }
 
 void GroupLeader::RaiseFencingToken() {
@@ -316,8 +321,7 @@
                             *load, slowdowns, this->TimesOfSwitches(now));
   this->planned_after_shifts = this->demand.Shifts();
   if (!better) return;
-  this->plan = std::move(better);
-  this->planned_at = now;
+  this->SetPlan(std::move(*better), now);
   this->target_version = this->NextVersion();
   this->EnterStage(Stage::kPreparing, now);
 }
--- a/src/experts/internal/group_leader.h
+++ b/src/experts/internal/group_leader.h
@@ -154,6 +154,7 @@
   void PlanWhileIdle(kernel::TimePoint now);
   /// Begins an attempt to switch to the map of `next`.
   void BeginSwitch(SwitchPlan next, kernel::TimePoint now);
+  void SetPlan(SwitchPlan next, kernel::TimePoint now);
   /// Replaces the planned map while weights are being copied, if demand has
   /// shifted since it was planned and another map is worth the time of a new
   /// switch.
--- a/src/experts/internal/map_codec.cc
+++ b/src/experts/internal/map_codec.cc
@@ -1,5 +1,6 @@
 #include "experts/internal/map_codec.h"
 
+#include <algorithm>
 #include <string>
 
 #include "kernel/hash.h"
@@ -25,8 +26,60 @@
 
 /// Number of elements before the first change: 0 and the header.
 constexpr std::size_t kChangesBegin = 6;
-/// Number of elements of a change before its experts.
-constexpr std::size_t kChangeHeaderSize = 3;
+
+/// An edit of a list is one number: twice its place in the list times the
+/// number of experts plus one, plus the expert that gets this place, plus 1 if
+/// it is the list's last edit. In place of an expert, the number of experts
+/// ends the list.
+constexpr std::uint64_t kEditStride = 2;
+
+void AppendEdits(const std::vector<std::uint64_t>& base,
+                 const std::vector<std::uint64_t>& list, std::uint64_t experts,
+                 std::vector<std::uint64_t>& flat) {
+  const auto add = [&](std::size_t place, std::uint64_t expert) {
+    flat.push_back(kEditStride * (place * (experts + 1) + expert));
+  };
+  for (std::size_t place = 0; place < list.size(); ++place) {
+    if (place >= base.size() || base[place] != list[place])
+      add(place, list[place]);
+  }
+  if (list.size() < base.size()) add(list.size(), experts);
+  ++flat.back();
+}
+
+/// Applies the edits of one list, and advances `position`.
+/// @return false if they do not fit the list.
+bool ReadEdits(const std::vector<std::uint64_t>& flat, std::size_t& position,
+               std::uint64_t experts, std::vector<std::uint64_t>& list) {
+  bool is_last = false;
+  while (!is_last) {
+    if (position >= flat.size()) return false;
+    const std::uint64_t edit = flat[position++];
+    is_last = edit % kEditStride != 0;
+    const std::uint64_t place = edit / kEditStride / (experts + 1);
+    const std::uint64_t expert = edit / kEditStride % (experts + 1);
+    if (place > list.size()) return false;
+    if (expert == experts) {
+      list.resize(place);
+    } else if (place == list.size()) {
+      list.push_back(expert);
+    } else {
+      list[place] = expert;
+    }
+  }
+  return true;
+}
+
+/// Reorders `list` so that the experts of `base` keep their places.
+void AlignList(const std::vector<std::uint64_t>& base,
+               std::vector<std::uint64_t>& list) {
+  for (std::size_t place = 0; place < std::min(base.size(), list.size());
+       ++place) {
+    const auto found = std::find(list.begin(), list.end(), base[place]);
+    if (found != list.end())
+      std::iter_swap(list.begin() + static_cast<std::ptrdiff_t>(place), found);
+  }
+}
 
 }  // namespace
 
@@ -91,6 +144,14 @@
   return kernel::Hash64(text);
 }
 
+ExpertMap AlignWith(const ExpertMap& base, ExpertMap map) {
+  for (std::size_t layer = 0; layer < map.size(); ++layer) {
+    for (std::size_t rank = 0; rank < map[layer].size(); ++rank)
+      AlignList(base[layer][rank], map[layer][rank]);
+  }
+  return map;
+}
+
 std::vector<std::uint64_t> FlattenMapChanges(const MapChangesHeader& header,
                                              const ExpertMap& base,
                                              const ExpertMap& map) {
@@ -100,12 +161,16 @@
                                      header.ranks,
                                      header.experts,
                                      DigestOf(map)};
+  std::uint64_t unchanged = 0;
   for (std::size_t layer = 0; layer < map.size(); ++layer) {
     for (std::size_t rank = 0; rank < map[layer].size(); ++rank) {
-      const auto& experts = map[layer][rank];
-      if (experts == base[layer][rank]) continue;
-      flat.insert(flat.end(), {layer, rank, experts.size()});
-      flat.insert(flat.end(), experts.begin(), experts.end());
+      if (map[layer][rank] == base[layer][rank]) {
+        ++unchanged;
+        continue;
+      }
+      flat.push_back(unchanged);
+      AppendEdits(base[layer][rank], map[layer][rank], header.experts, flat);
+      unchanged = 0;
     }
   }
   return flat;
@@ -121,19 +186,19 @@
                                          ExpertMap base) {
   const auto header = ReadMapChangesHeader(flat);
   if (!header) return std::nullopt;
+  const bool has_shape = header->layers == base.size() && !base.empty() &&
+                         header->ranks == base.front().size();
+  if (!has_shape) return std::nullopt;
+  std::uint64_t list = 0;
   std::size_t position = kChangesBegin;
   while (position < flat.size()) {
-    if (flat.size() - position < kChangeHeaderSize) return std::nullopt;
-    const std::uint64_t layer = flat[position];
-    const std::uint64_t rank = flat[position + 1];
-    const std::uint64_t count = flat[position + 2];
-    position += kChangeHeaderSize;
-    const bool fits = layer < base.size() && rank < base[layer].size() &&
-                      count <= flat.size() - position;
-    if (!fits) return std::nullopt;
-    const auto begin = flat.begin() + static_cast<std::ptrdiff_t>(position);
-    base[layer][rank].assign(begin, begin + static_cast<std::ptrdiff_t>(count));
-    position += count;
+    if (flat[position] >= header->layers * header->ranks - list)
+      return std::nullopt;
+    list += flat[position++];
+    auto& experts = base[list / header->ranks][list % header->ranks];
+    if (!ReadEdits(flat, position, header->experts, experts))
+      return std::nullopt;
+    ++list;
   }
   if (DigestOf(base) != header->digest) return std::nullopt;
   return base;
--- a/src/experts/internal/map_codec.h
+++ b/src/experts/internal/map_codec.h
@@ -43,9 +43,15 @@
 /// Returns a digest of the content of a map.
 std::uint64_t DigestOf(const ExpertMap& map);
 
+/// Returns `map` with the experts of each list reordered, so that those that
+/// `base` has in the same list keep their places as far as possible. Changes to
+/// such a map are fewer.
+ExpertMap AlignWith(const ExpertMap& base, ExpertMap map);
+
 /// Converts the difference between two maps of the same shape to one list: 0,
-/// the header with the digest of `map`, then layer, rank, count of experts and
-/// experts for each list of experts that differs.
+/// the header with the digest of `map`, then for each list of experts that
+/// differs its distance from the one before, in the order of layers and ranks,
+/// and its edits. An edit replaces or appends one expert or ends the list.
 std::vector<std::uint64_t> FlattenMapChanges(const MapChangesHeader& header,
                                              const ExpertMap& base,
                                              const ExpertMap& map);
--- a/src/experts/internal/map_sender.h
+++ b/src/experts/internal/map_sender.h
@@ -16,7 +16,7 @@
   /// Bytes of maps per second that are sent to all ranks together, on average.
   double bytes_per_second = 60'000;
   /// Bytes of maps that may be sent ahead of the average.
-  double burst_bytes = 60'000;
+  double burst_bytes = 100'000;
   /// Bytes of maps per second that are never exceeded.
   double peak_bytes_per_second = 400'000;
   /// Time after which a map is sent again to a rank that has not prepared it.
--- a/src/experts/tests/simulated_group.cc
+++ b/src/experts/tests/simulated_group.cc
@@ -142,8 +142,8 @@
       this->prepared_map = prepare->map;
       this->copying_version = prepare->version;
       this->copied_at =
-          this->group.now +
-          this->group.shape.copy_time * static_cast<int>(this->CopiesFor(prepare->map));
+          this->group.now + this->group.shape.copy_time *
+                                static_cast<int>(this->CopiesFor(prepare->map));
     }
     if (const auto* arm = std::get_if<ArmOrder>(&order)) {
       if (this->prepared_version != arm->version || step >= arm->step)
