Begin and end a map switch without waiting for news that are not needed

Causes, all in GroupLeader and RankAgent, seen in the stage times of map_changed: - After a switch the leader waited 0.3 s for statuses that say that no rank is armed, since agents poll their engines each 250 ms when their goal is to follow. No plan could begin in that time. Agents now poll quickly while their engine is armed or holds the group. - A plan was replaced after each further shift, and preparing began anew, so that in the model no map was ever changed (13.4 s of preparing). A plan is replaced once at most. - A shift was planned for up to 216 ms after it was confirmed, since also attempts that found it unconfirmed began the period between plans. It is planned for at once. - Ranks were first asked to follow and then to prepare. To prepare a map changes nothing that is in use, so both are asked together, and the switch goes on only when all ranks follow. An unfinished switch of another leader is still settled first.

--- a/src/experts/internal/group_leader.cc
+++ b/src/experts/internal/group_leader.cc
@@ -223,7 +223,12 @@
 }
 
 void GroupLeader::AdvanceIdle(kernel::TimePoint now) {
-  if (!this->IsGroupComplete(now) || now < this->next_plan_at) return;
+  // The period bounds the time spent on plans for a demand that changes
+  // little. A shift is planned for at once.
+  const bool has_shifted = this->considered_shifts != this->demand.Shifts();
+  const bool is_due =
+      now >= this->paused_until && (has_shifted || now >= this->next_plan_at);
+  if (!this->IsGroupComplete(now) || !is_due) return;
   if (this->HasOtherLeader()) return;
   this->next_plan_at = now + this->PlanPeriod();
   const auto map = this->CurrentMap();
@@ -245,6 +250,7 @@
   }
   const auto load = this->demand.Load(this->current.map.size());
   if (!load) return;
+  this->considered_shifts = this->demand.Shifts();
   const RankSlowdowns slowdowns = this->Slowdowns();
   const SwitchTimes times = this->TimesOfSwitches(now);
   auto better = SwitchPlanner(this->limits.planner)
@@ -285,7 +291,10 @@
 
 void GroupLeader::BeginSwitch(SwitchPlan next, kernel::TimePoint now) {
   this->SetPlan(std::move(next), now);
-  this->BeginAttempt(now);
+  this->is_plan_replaced = false;
+  this->RaiseFencingToken();
+  this->target_version = this->NextVersion();
+  this->EnterStage(Stage::kPreparing, now);
 }
 
 void GroupLeader::SetPlan(SwitchPlan next, kernel::TimePoint now) {
@@ -308,6 +317,9 @@
 
 void GroupLeader::Replan(kernel::TimePoint now) {
   if (now < this->next_plan_at) return;
+  // A second replacement could keep every plan from completion while demand
+  // goes on shifting.
+  if (this->is_plan_replaced) return;
   if (this->planned_after_shifts == this->demand.Shifts()) return;
   this->next_plan_at = now + this->PlanPeriod();
   const auto load = this->demand.Load(this->current.map.size());
@@ -322,6 +334,7 @@
   this->planned_after_shifts = this->demand.Shifts();
   if (!better) return;
   this->SetPlan(std::move(*better), now);
+  this->is_plan_replaced = true;
   this->target_version = this->NextVersion();
   this->EnterStage(Stage::kPreparing, now);
 }
@@ -386,35 +399,51 @@
   if (own.step >= this->switch_step) this->BeginHolding(own_rank, now);
 }
 
+bool GroupLeader::IsFollowedByAll() const {
+  return this->AllRanks([this](const RankStatus& status) {
+    return status.fencing_token == this->fencing_token;
+  });
+}
+
+void GroupLeader::AdvancePreparing(std::uint64_t own_rank,
+                                   kernel::TimePoint now) {
+  const bool is_followed = this->IsFollowedByAll();
+  if (is_followed && this->HasUnfinishedSwitch()) {
+    // Another leader began to switch just before the ranks followed this one.
+    this->AdvanceFromFollowing(now);
+  } else if (is_followed && this->IsGroupComplete(now) &&
+             this->AllRanks([this](const RankStatus& status) {
+               return status.prepared_version == this->target_version;
+             })) {
+    this->BeginHolding(own_rank, now);
+  } else if (!is_followed &&
+             this->HasTimedOut(this->limits.follow_timeout, now)) {
+    this->CancelAttempt("not all ranks followed in time", now);
+  } else if (this->HasTimedOut(this->limits.refusal_timeout, now) &&
+             this->IsRefused(this->target_version)) {
+    this->target_version = this->NextVersion();
+    this->EnterStage(Stage::kPreparing, now);
+  } else if (this->HasTimedOut(this->limits.prepare_timeout, now)) {
+    this->CancelAttempt("weights were not copied in time", now);
+  } else {
+    this->Replan(now);
+  }
+}
+
 void GroupLeader::Advance(std::uint64_t own_rank, kernel::TimePoint now) {
   switch (this->stage) {
     case Stage::kIdle:
       this->AdvanceIdle(now);
       return;
     case Stage::kFollowing:
-      if (this->AllRanks([this](const RankStatus& status) {
-            return status.fencing_token == this->fencing_token;
-          }) &&
-          this->IsGroupComplete(now)) {
+      if (this->IsFollowedByAll() && this->IsGroupComplete(now)) {
         this->AdvanceFromFollowing(now);
       } else if (this->HasTimedOut(this->limits.follow_timeout, now)) {
         this->CancelAttempt("not all ranks followed in time", now);
       }
       return;
     case Stage::kPreparing:
-      if (this->AllRanks([this](const RankStatus& status) {
-            return status.prepared_version == this->target_version;
-          })) {
-        this->BeginHolding(own_rank, now);
-      } else if (this->HasTimedOut(this->limits.refusal_timeout, now) &&
-                 this->IsRefused(this->target_version)) {
-        this->target_version = this->NextVersion();
-        this->EnterStage(Stage::kPreparing, now);
-      } else if (this->HasTimedOut(this->limits.prepare_timeout, now)) {
-        this->CancelAttempt("weights were not copied in time", now);
-      } else {
-        this->Replan(now);
-      }
+      this->AdvancePreparing(own_rank, now);
       return;
     case Stage::kHolding:
       this->AdvanceHolding(own_rank, now);
@@ -547,7 +576,7 @@
                           {"reason", std::string(reason)}});
   this->plan.reset();
   this->must_send_leave = true;
-  this->next_plan_at = now + this->limits.cancel_pause;
+  this->paused_until = now + this->limits.cancel_pause;
   this->EnterStage(Stage::kIdle, now);
 }
 
@@ -605,7 +634,7 @@
   if (this->ranks.count(own_rank) == 0) return {};
   if (this->stage != Stage::kIdle && this->IsSuperseded()) {
     this->CancelAttempt("ranks follow another leader", now);
-    this->next_plan_at = now + this->limits.step_down_pause;
+    this->paused_until = now + this->limits.step_down_pause;
   }
   // An agent or an engine has received a higher fencing token, so it may refuse
   // this one. The other leader may have changed the state that this attempt
--- a/src/experts/internal/group_leader.h
+++ b/src/experts/internal/group_leader.h
@@ -117,9 +117,12 @@
 
  private:
   enum class Stage {
-    kIdle,       ///< Plans maps; no attempt is in progress.
-    kFollowing,  ///< Waits until all ranks follow this leader.
-    kPreparing,  ///< Waits until all ranks have prepared the map.
+    kIdle,  ///< Plans maps; no attempt is in progress.
+    /// Waits until all ranks follow this leader, to settle a switch that an
+    /// earlier attempt left unfinished.
+    kFollowing,
+    /// Waits until all ranks follow this leader and have prepared the map.
+    kPreparing,
     kHolding,    ///< Waits until the own rank holds the group.
     kArming,     ///< Waits until all ranks are armed.
     kReleasing,  ///< Waits until no rank holds the group.
@@ -162,7 +165,10 @@
   SwitchTimes TimesOfSwitches(kernel::TimePoint now) const;
   void UpdateMeanOverhead(kernel::TimePoint now);
   void BeginAttempt(kernel::TimePoint now);
+  /// Returns whether all ranks follow the current attempt.
+  bool IsFollowedByAll() const;
   void AdvanceFromFollowing(kernel::TimePoint now);
+  void AdvancePreparing(std::uint64_t own_rank, kernel::TimePoint now);
   /// Chooses the step to switch at, and begins to hold the group before it.
   void BeginHolding(std::uint64_t own_rank, kernel::TimePoint now);
   void Advance(std::uint64_t own_rank, kernel::TimePoint now);
@@ -225,6 +231,10 @@
   std::map<Stage, kernel::Millis> stage_times;
   kernel::TimePoint commands_sent_at;
   kernel::TimePoint next_plan_at;
+  /// Time before which no attempt begins, after one was cancelled.
+  kernel::TimePoint paused_until;
+  /// Shifts of demand before the last calculation of a map.
+  int considered_shifts = 0;
   bool must_send = false;
   /// The ranks must receive a LeaveCommand, so that they may follow others.
   bool must_send_leave = false;
@@ -240,6 +250,7 @@
   std::optional<SwitchPlan> plan;  ///< Switch that is being made.
   /// Time at which the attempt began, or at which its plan was replaced.
   kernel::TimePoint planned_at;
+  bool is_plan_replaced = false;  ///< The plan has replaced another one.
   /// Shifts of demand before the plan, or nothing if it is not for a certain
   /// demand.
   std::optional<int> planned_after_shifts;
--- a/src/experts/internal/rank_agent.cc
+++ b/src/experts/internal/rank_agent.cc
@@ -205,6 +205,9 @@
 }
 
 bool RankAgent::HasActiveGoal(kernel::TimePoint now) const {
+  const bool has_unfinished_switch =
+      this->report && (this->report->armed || this->report->held_step);
+  if (has_unfinished_switch) return true;
   return this->command && !this->IsLeaseExpired(now) &&
          this->command->goal != SwitchGoal::kFollow;
 }
--- a/src/experts/internal/rank_agent.h
+++ b/src/experts/internal/rank_agent.h
@@ -68,8 +68,9 @@
 
   /// Returns whether the experts in use must be read from the engine.
   bool NeedsExperts() const;
-  /// Returns whether a leader whose lease is valid has set a goal other than to
-  /// follow it.
+  /// Returns whether the engine's state is about to change: it is armed or
+  /// holds the group, or a leader whose lease is valid has set a goal other
+  /// than to follow it.
   bool HasActiveGoal(kernel::TimePoint now) const;
 
  private:
