Bound the batches of a service so that streams keep the goal for their pauses

Cause: the pause goal of a profile had no reader, and gateways filled each endpoint to 1.2 times its slots. A pass lasts longer the more requests run, and after a shift of demand, until the map fits, about twice as long. A group that is full when the demand shifts breaks the goal for all that it runs, and hardly produces more than one that has room. Change: BatchLimit learns from the pauses how many requests endpoints may run so that also the passes after a shift keep the goal; what is more waits at the gateway, where the order is known.

--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -118,7 +118,12 @@
 void DirectFlow::OnProgress(kernel::TimePoint now) {
   this->context.pool.OnProgress(*this->endpoint, now);
   const auto pause = this->progress.OnEvents(now);
-  if (pause) this->actions.push_back(ReportPause{*pause});
+  // A pause between two attempts is not one of the endpoint.
+  if (pause && this->attempt_has_events) {
+    const kernel::Millis goal(this->request.profile->pause_goal_ms);
+    this->context.pool.OnPause(this->request.service, *pause, goal, now);
+    this->actions.push_back(ReportPause{*pause});
+  }
   if (!this->attempt_has_events) {
     this->attempt_has_events = true;
     this->first_event_at = now;
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -351,7 +351,8 @@
   peers::LocalState state;
   state.ready = this->IsReady(now);
   state.leaving = this->LeavingSince().has_value();
-  state.in_flight = this->pool.InFlight();
+  state.in_flight =
+      this->pool.InFlight(this->peers->LiveGateways(now).size() + 1);
   this->peers->Publish(std::move(state), now);
   this->SetGauges(now);
 }
--- a/src/direct/internal/endpoint_pool.cc
+++ b/src/direct/internal/endpoint_pool.cc
@@ -31,6 +31,9 @@
 /// that all gateways would send to the same endpoints if each chose the least
 /// loaded of all.
 constexpr std::size_t kSampledEndpoints = 3;
+/// Time after which the requests of all gateways are counted again. The counts
+/// of the others are older than that.
+constexpr kernel::Millis kUsagePeriod{50};
 
 }  // namespace
 
@@ -110,14 +113,55 @@
                                      : this->limits.default_slots;
 }
 
+double EndpointPool::RequestsAt(const Endpoint& endpoint) const {
+  return static_cast<double>(endpoint.in_flight +
+                             this->in_flight_from_peers(endpoint.instance.id));
+}
+
+void EndpointPool::UpdateUsage(Service& service, kernel::TimePoint now) const {
+  if (now - service.usage.counted_at < kUsagePeriod) return;
+  Usage usage;
+  usage.counted_at = now;
+  usage.own_requests = service.in_flight;
+  for (const auto& entry : service.endpoints) {
+    if (!IsUsable(service, entry.second, now)) continue;
+    const auto slots = static_cast<double>(this->SlotsOf(entry.second));
+    const double requests = this->RequestsAt(entry.second);
+    usage.requests += requests;
+    usage.running += std::min(requests, slots);
+    usage.slots += slots;
+    ++usage.endpoints;
+  }
+  service.usage = usage;
+}
+
+bool EndpointPool::IsBatchLimitReached(Service& service,
+                                       kernel::TimePoint now) const {
+  if (!service.has_sent_events) return false;
+  this->UpdateUsage(service, now);
+  const Usage& usage = service.usage;
+  if (usage.endpoints == 0) return false;
+  const auto limit =
+      service.batch_limit.Limit(usage.slots / usage.endpoints, now);
+  if (!limit) return false;
+  const double free = *limit * usage.endpoints - usage.requests;
+  const auto used = static_cast<double>(service.in_flight - usage.own_requests);
+  // The other gateways see the same free places and don't know yet what this
+  // one has sent since its last update, so that each takes its part of them.
+  const double part =
+      std::max(1.0, free / static_cast<double>(service.gateways));
+  const auto growth =
+      static_cast<double>(service.in_flight - service.published_in_flight);
+  return free - used <= 0 || growth >= part;
+}
+
 EndpointPool::Load EndpointPool::LoadOf(const Endpoint& endpoint) const {
   // A slow endpoint counts as one with fewer slots. Where endpoints run in
   // lock-step, it would delay all others if it had as many requests as they.
   const double slots =
       static_cast<double>(this->SlotsOf(endpoint)) /
       std::max(1.0, this->slowdown_of(endpoint.instance.address));
-  const auto used = static_cast<double>(
-      endpoint.in_flight + this->in_flight_from_peers(endpoint.instance.id));
+  const double used = this->RequestsAt(endpoint);
   const double limit = std::ceil(slots * (1 + this->limits.queue_fraction));
   const double penalty =
       (this->IsLocal(endpoint.instance) ? 0 : this->limits.distance_penalty) +
@@ -133,6 +177,7 @@
   if (service.is_stalled && service.in_flight > 0) return nullptr;
   if (this->IsUnavailable(service) && now < service.next_probe_at)
     return nullptr;
+  if (this->IsBatchLimitReached(service, now)) return nullptr;
   std::vector<Candidate> local;
   std::vector<Candidate> remote;
   std::vector<Candidate> ejected;
@@ -390,6 +435,17 @@
   CountProgress(*found, now);
 }
 
+void EndpointPool::OnPause(const std::string& service, kernel::Millis pause,
+                           kernel::Millis goal, kernel::TimePoint now) {
+  const auto found = this->Find(service);
+  if (!found) return;
+  const std::lock_guard<std::mutex> lock(found->mutex);
+  this->UpdateUsage(*found, now);
+  const Usage& usage = found->usage;
+  if (usage.endpoints == 0) return;
+  found->batch_limit.OnPause(pause, goal, usage.running / usage.endpoints, now);
+}
+
 void EndpointPool::OnFirstEvent(const EndpointChoice& choice,
                                 kernel::Millis elapsed, kernel::TimePoint now) {
   const auto found = this->Find(choice.service);
--- a/src/direct/internal/endpoint_pool.h
+++ b/src/direct/internal/endpoint_pool.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "direct/internal/batch_limit.h"
 #include "direct/internal/endpoint_rests.h"
 #include "direct/internal/leaving_endpoints.h"
 #include "direct/internal/outage_estimator.h"
@@ -171,6 +172,11 @@
   /// Records that an endpoint has sent an event.
   void OnProgress(const EndpointChoice& choice, kernel::TimePoint now);
 
+  /// Records a pause between two events of a stream of `service`.
+  /// @param goal longest pause that is on time.
+  void OnPause(const std::string& service, kernel::Millis pause,
+               kernel::Millis goal, kernel::TimePoint now);
+
   /// Records the time from the beginning of an attempt to its first event.
   void OnFirstEvent(const EndpointChoice& choice, kernel::Millis elapsed,
                     kernel::TimePoint now);
@@ -189,8 +195,10 @@
                kernel::TimePoint now);
 
   /// Returns the number of this gateway's requests at each endpoint that has
-  /// any.
-  std::vector<std::pair<std::string, std::int64_t>> InFlight();
+  /// any, to be sent to the other gateways now.
+  /// @param gateways number of gateways, this one included.
+  std::vector<std::pair<std::string, std::int64_t>> InFlight(
+      std::size_t gateways);
 
   /// Returns one status line for each endpoint.
   std::vector<std::string> Describe(kernel::TimePoint now);
@@ -222,6 +230,15 @@
     Endpoint* endpoint = nullptr;
     Load load;
   };
+  /// Requests of all gateways at the usable endpoints of a service.
+  struct Usage {
+    double requests = 0;
+    double running = 0;  ///< Those that fit in the slots.
+    double slots = 0;
+    double endpoints = 0;
+    std::int64_t own_requests = 0;  ///< This gateway's part of `requests`.
+    kernel::TimePoint counted_at;
+  };
   struct Service {
     explicit Service(kernel::Millis initial_outage) : outages(initial_outage) {}
 
@@ -245,6 +262,12 @@
     /// Time before which an unavailable service gets no further request.
     kernel::TimePoint next_probe_at;
     OutageEstimator outages;
+    BatchLimit batch_limit;
+    Usage usage;  ///< See UpdateUsage.
+    /// This gateway's requests as last sent to the others, and the number of
+    /// gateways at that time.
+    std::int64_t published_in_flight = 0;
+    std::size_t gateways = 1;
   };
 
   std::shared_ptr<Service> Find(const std::string& service);
@@ -258,6 +281,13 @@
                        kernel::TimePoint now);
   std::int64_t SlotsOf(const Endpoint& endpoint) const;
   Load LoadOf(const Endpoint& endpoint) const;
+  /// Returns the number of requests that all gateways have at the endpoint.
+  double RequestsAt(const Endpoint& endpoint) const;
+  /// Counts the requests of all gateways anew if the last count is old.
+  void UpdateUsage(Service& service, kernel::TimePoint now) const;
+  /// Returns whether another request would make the pauses of the service's
+  /// streams too long.
+  bool IsBatchLimitReached(Service& service, kernel::TimePoint now) const;
   /// Returns whether the rate limit of the endpoint, if any, permits a request.
   bool IsPermitted(const std::string& id, kernel::TimePoint now) const {
     return this->rate_limits == nullptr || this->rate_limits->MaySend(id, now);
--- a/src/direct/internal/endpoint_pool_status.cc
+++ b/src/direct/internal/endpoint_pool_status.cc
@@ -1,8 +1,11 @@
+#include <algorithm>
+
 #include "direct/internal/endpoint_pool.h"
 
 namespace banyanlane::direct {
 
-std::vector<std::pair<std::string, std::int64_t>> EndpointPool::InFlight() {
+std::vector<std::pair<std::string, std::int64_t>> EndpointPool::InFlight(
+    std::size_t gateways) {
   std::vector<std::shared_ptr<Service>> all;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -11,6 +14,8 @@
   std::vector<std::pair<std::string, std::int64_t>> counts;
   for (const auto& service : all) {
     const std::lock_guard<std::mutex> lock(service->mutex);
+    service->published_in_flight = service->in_flight;
+    service->gateways = std::max<std::size_t>(1, gateways);
     for (const auto& [id, endpoint] : service->endpoints) {
       if (endpoint.in_flight > 0) counts.emplace_back(id, endpoint.in_flight);
     }
