--- a/src/direct/tests/lockstep_service_test.cc
+++ b/src/direct/tests/lockstep_service_test.cc
@@ -43,6 +43,17 @@
   }
 }
 
+// With the time that maps of large groups took, the group had to be full before
+// the demand shifted again.
+Test(lockstep_service, streams_are_on_time_while_maps_follow_slowly) {
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    LockstepShape shape;
+    shape.unfit_time = Millis(900);
+    const LockstepResults results = Play(shape, seed);
+    cr_expect_geq(results.OnTimeRatio(), kTarget, "%f", results.OnTimeRatio());
+  }
+}
+
 // Guards against gateways that all send to the few endpoints that had room half
 // a second ago, until those refuse.
 Test(lockstep_service, endpoints_of_a_busy_group_refuse_nothing) {
