Show that SIGHUP during a graceful stop ends a gateway and loses its requests

Cause: the log thread starts before the signals are blocked, so the kernel gives it a SIGHUP whose default action ends the process while the main thread is not waiting for signals.

--- /dev/null
+++ b/review/run-case.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# run-case.sh FOLDER PROGRAM: runs a case and writes record.txt into its folder.
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+program=$root/build-review/$2
+if [ ! -x "$program" ] || [ ! -x "$root/target/banyanlane" ]; then
+  echo "build first: the line build of deploy/system.toml, then review/build.sh"
+  exit 2
+fi
+temporary=$(mktemp -d)
+trap 'rm -rf "$temporary"' EXIT
+timeout 115 "$program" "$root" "$temporary" "$1/record.txt"
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
