Show that a refusal of a HEAD request corrupts its connection

Cause: the gateway waits for the body of a response to HEAD, and sends its own refusal of a HEAD request with a body.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# run-case.sh FOLDER PROGRAM: runs a case and writes record.txt into its folder.
+# run-case.sh FOLDER PROGRAM [RECORD]: runs a case and writes RECORD, or record.txt, into its folder.
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 program=$root/build-review/$2
@@ -9,7 +9,7 @@
 fi
 temporary=$(mktemp -d)
 trap 'rm -rf "$temporary"' EXIT
-timeout 115 "$program" "$root" "$temporary" "$1/record.txt"
+timeout 115 "$program" "$root" "$temporary" "$1/${3:-record.txt}"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/tests/harness.cc
+++ b/review/tests/harness.cc
@@ -7,6 +7,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -15,6 +16,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <iostream>
 #include <sstream>
 
@@ -219,6 +221,12 @@
   return std::make_unique<Connection>(opened);
 }
 
+void Connection::SetReadTimeout(int timeout_ms) {
+  const timeval timeout{timeout_ms / kMillisPerSecond,
+                        timeout_ms % kMillisPerSecond * 1'000};
+  setsockopt(this->socket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+}
+
 bool Connection::Write(const std::string& bytes) {
   std::size_t sent = 0;
   while (sent < bytes.size()) {
@@ -558,8 +566,11 @@
   if (request.target.rfind("/stream/", 0) != 0) {
     std::this_thread::sleep_for(
         std::chrono::milliseconds(std::stoi("0" + work)));
-    const bool sent = connection.Write(
-        FormatResponse(200, headers, "done " + request_id + "\n"));
+    std::string answer =
+        FormatResponse(200, headers, "done " + request_id + "\n");
+    // A response to HEAD has the header of the response to GET and no body.
+    if (request.method == "HEAD") answer.resize(answer.find("\r\n\r\n") + 4);
+    const bool sent = connection.Write(answer);
     this->runs.End(run, sent);
     return;
   }
@@ -615,7 +626,9 @@
   const std::map<std::string, std::string> fields = {
       {"{{nodeName}}", this->name},
       {"{{zone}}", "zone-a"},
-      {"{{limits.maxFds}}", "1000"},
+      {"{{limits.maxFds}}",
+       std::to_string(this->max_descriptors > 0 ? this->max_descriptors
+                                                : 1'000)},
       {"{{limits.memoryMb}}", "260"},
       {"{{ip}}:9464", this->admin},
       {"{{provider.address}}", this->store_address},
@@ -645,6 +658,11 @@
   this->pid = fork();
   if (this->pid != 0) return;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (this->max_descriptors > 0) {
+    const auto most = static_cast<rlim_t>(this->max_descriptors);
+    const rlimit limit{most, most};
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
   const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(file, STDOUT_FILENO);
   dup2(file, STDERR_FILENO);
@@ -671,6 +689,27 @@
   return true;
 }
 
+int Gateway::OpenDescriptors() const {
+  int count = 0;
+  std::error_code ignored;
+  for (const auto& entry : std::filesystem::directory_iterator(
+           "/proc/" + std::to_string(this->pid) + "/fd", ignored)) {
+    (void)entry;
+    ++count;
+  }
+  return count;
+}
+
+long Gateway::MemoryKb() const {
+  std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+  std::string word;
+  while (status >> word) {
+    long kilobytes = 0;
+    if (word == "VmRSS:" && status >> kilobytes) return kilobytes;
+  }
+  return 0;
+}
+
 bool Gateway::AwaitReady(double timeout_s) {
   const double until = Seconds() + timeout_s;
   while (Seconds() < until && !this->HasExited()) {
--- a/review/tests/harness.h
+++ b/review/tests/harness.h
@@ -72,6 +72,8 @@
   /// Connects to `address`, or returns null.
   static std::unique_ptr<Connection> Open(const std::string& address);
 
+  /// Sets the longest time that a read waits.
+  void SetReadTimeout(int timeout_ms);
   bool Write(const std::string& bytes);
   /// Reads a line without its line end. Returns nothing at the end of the
   /// connection.
@@ -218,6 +220,14 @@
   /// Writes the settings file again, with another list of seeds.
   void ChangeSettings(const std::vector<std::string>& seeds);
   bool HasExited();
+  /// Sets the number of descriptors that the platform allows the process.
+  void SetDescriptorLimit(int descriptors) {
+    this->max_descriptors = descriptors;
+  }
+  /// Returns the number of descriptors that the process has open.
+  int OpenDescriptors() const;
+  /// Returns the resident memory of the process in KB, or 0.
+  long MemoryKb() const;
   /// Returns how the process ended, in words.
   std::string ExitText() const { return this->exit_text; }
   /// Waits until it counts as ready.
@@ -238,6 +248,7 @@
   std::string directory;
   std::string control_plane;
   std::string admin;
+  int max_descriptors = 0;
   pid_t pid = 0;
   std::string exit_text;
 };
