--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -2,7 +2,7 @@
 # run-case.sh FOLDER PROGRAM [RECORD]: runs a case and writes RECORD, or record.txt, into its folder.
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-program=$root/build-review/$2
+program=$root/review/build/$2
 if [ ! -x "$program" ] || [ ! -x "$root/target/banyanlane" ]; then
   echo "build first: the line build of deploy/system.toml, then review/build.sh"
   exit 2
