Report a case as not run if its limit of descriptors cannot be set

Cause: a failed setrlimit was ignored. With a lower hard limit than 4,100, case 1 would have run with that one, and could have failed with TROUBLE=0 as well. Change: the gateway's process exits before it starts if the limit cannot be set, so that the script exits with 2.

--- a/review/tests/harness.cc
+++ b/review/tests/harness.cc
@@ -661,7 +661,7 @@
   if (this->max_descriptors > 0) {
     const auto most = static_cast<rlim_t>(this->max_descriptors);
     const rlimit limit{most, most};
-    setrlimit(RLIMIT_NOFILE, &limit);
+    if (setrlimit(RLIMIT_NOFILE, &limit) != 0) std::_Exit(kCouldNotRun);
   }
   const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(file, STDOUT_FILENO);
