Take a response without body as complete when its head is

What callers saw: a 204 or 304, which may state no length, counted as cut short where the end of a connection completes no response. By the code that is so at agents, whose caller gets a failure instead of a service's 204, and at the reader of the platform, which goes to the next address on a 304.

Cause: HttpCall took a response without Content-Length and chunks for one that ends with its connection, whatever its status.

Fix: the parser says whether the body ends with the connection.

--- a/src/http/internal/http_call.cc
+++ b/src/http/internal/http_call.cc
@@ -231,17 +231,16 @@
       return;
     }
   }
-  const bool length_known = this->IsHead() || parser->chunked() ||
-                            parser->content_length().has_value();
-  if (!length_known && !this->limits.close_ends_response) {
-    // A response that ends with its connection can't be distinguished from a
-    // truncated one.
+  const bool ends_with_connection = parser->need_eof();
+  if (ends_with_connection && !this->limits.close_ends_response) {
+    // Such a response can't be distinguished from a truncated one.
     this->Fail("read_body", beast::http::error::partial_message,
                SendState::kMaybeSent);
     return;
   }
   this->SetResetOnClose(false);
-  const bool can_reuse = this->cache && length_known && parser->keep_alive() &&
+  const bool can_reuse = this->cache && !ends_with_connection &&
+                         parser->keep_alive() &&
                          this->connection->buffer.size() == 0;
   if (can_reuse) {
     this->cache->Put(this->address, this->connection, kernel::Clock::now());
--- a/tests/processes/raw_server.cc
+++ b/tests/processes/raw_server.cc
@@ -68,20 +68,34 @@
   return head.substr(value, head.find("\r\n", value) - value);
 }
 
-RawServer::RawServer(const std::string& address, Serve serve)
-    : serve(std::move(serve)), listener(socket(AF_INET, SOCK_STREAM, 0)) {
+void RawConnection::ResetOnClose() const {
+  const linger reset{1, 0};
+  setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+int ListenAt(const std::string& address, std::string& bound) {
   const auto parsed = std::get<http::HostPort>(http::ParseHostPort(address));
-  sockaddr_in bound{};
-  bound.sin_family = AF_INET;
-  bound.sin_port = htons(parsed.port);
-  inet_pton(AF_INET, parsed.host.c_str(), &bound.sin_addr);
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in endpoint{};
+  endpoint.sin_family = AF_INET;
+  endpoint.sin_port = htons(parsed.port);
+  inet_pton(AF_INET, parsed.host.c_str(), &endpoint.sin_addr);
   const int enabled = 1;
-  setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &enabled,
-             sizeof(enabled));
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
   // NOLINTNEXTLINE: the socket interface requires the cast.
-  const auto* generic = reinterpret_cast<const sockaddr*>(&bound);
-  cr_assert_eq(bind(this->listener, generic, sizeof(bound)), 0);
-  cr_assert_eq(listen(this->listener, kBacklog), 0);
+  auto* generic = reinterpret_cast<sockaddr*>(&endpoint);
+  socklen_t length = sizeof(endpoint);
+  cr_assert_eq(bind(listener, generic, length), 0);
+  cr_assert_eq(listen(listener, kBacklog), 0);
+  getsockname(listener, generic, &length);
+  bound = parsed.host + ":" + std::to_string(ntohs(endpoint.sin_port));
+  return listener;
+}
+
+RawServer::RawServer(const std::string& address, Serve serve)
+    : serve(std::move(serve)) {
+  std::string bound;
+  this->listener = ListenAt(address, bound);
   this->acceptor = std::thread([this] { this->Accept(); });
 }
 
--- a/tests/processes/raw_server.h
+++ b/tests/processes/raw_server.h
@@ -26,6 +26,8 @@
   void EndSending() const;
   /// Ends sending and receiving.
   void Shutdown() const;
+  /// Lets the connection be reset instead of ended when it is destroyed.
+  void ResetOnClose() const;
 
   /// Returns the value of a header field, whose name is in lower case, or "".
   static std::string FieldOf(const std::string& head, const std::string& name);
@@ -35,6 +37,12 @@
   std::string received;  ///< Bytes that belong to later requests.
 };
 
+/// Opens a listening socket.
+/// @param address "IP:PORT"; port 0 selects a free port.
+/// @param bound receives the address with the port that was selected.
+/// @return its descriptor.
+int ListenAt(const std::string& address, std::string& bound);
+
 /// Server that sends what its tests prescribe, byte by byte.
 class RawServer {
  public:
