Repeat no call whose response head had begun on a reused connection

What callers saw: on a connection in use again, a response that was cut within its head, or that did not come in time, was asked for once more on a new connection. The second response was then shown as that of the call. A call could take its connection time beyond its total time, and a request that a server had received was reported as not sent if the second connection failed. Only the reads of rank agents use connections again; these may be repeated.

Cause: TryIdleConnection took every failure for that of a connection which its server had closed while it was idle.

Evidence: cut_response/on_a_reused_connection_does_not_repeat_the_request cuts twelve responses after each byte, with three kinds of close.

Fix: a request is sent again only if its connection was closed before any byte of a response, an interim one included; a call knows from its first write on that its request may have been sent.

--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -83,8 +83,8 @@
   bool close_ends_response = false;
   /// Whether the call may reuse an idle connection and leave its connection
   /// open for reuse. Only allowed for requests that may be sent twice: if the
-  /// reused connection fails before the response head has arrived, the request
-  /// is sent again on a new one.
+  /// peer closes the reused connection before anything of the response has
+  /// arrived, the request is sent again on a new one.
   bool reuse_connection = false;
 };
 
--- a/src/http/internal/http_call.cc
+++ b/src/http/internal/http_call.cc
@@ -86,46 +86,43 @@
     kernel::LogEvent(
         kernel::EventId::kHandlerFailed,
         {{"path", this->request.Path()}, {"reason", failure.what()}});
-    if (this->observer)
-      this->Fail("call", asio::error::fault, SendState::kMaybeSent);
+    this->send_state = SendState::kMaybeSent;
+    if (this->observer) this->Fail("call", asio::error::fault);
   }
 }
 
 void HttpCall::SendAndReceive(asio::yield_context yield) {
-  {
-    Parser parser;
-    if (this->TryIdleConnection(parser, yield)) {
-      this->ReadBody(parser, yield);
-      return;
-    }
-  }
+  if (this->is_reused && this->TryIdleConnection(yield)) return;
   if (!this->Connect(yield)) return;
   if (!this->SendRequest(yield)) return;
   Parser parser;
-  if (!this->ReadHead(parser, yield)) return;
-  this->ReadBody(parser, yield);
+  const beast::error_code failure = this->ReadFinalHead(parser, yield);
+  this->FinishResponse(parser, failure, yield);
 }
 
-bool HttpCall::TryIdleConnection(Parser& parser, asio::yield_context yield) {
-  if (!this->is_reused || this->aborted) return false;
+bool HttpCall::TryIdleConnection(asio::yield_context yield) {
+  if (this->aborted) return false;
   this->SetResetOnClose(true);
+  Parser parser;
   beast::error_code failure = this->WriteRequest(yield);
   if (!failure) failure = this->ReadFinalHead(parser, yield);
-  if (failure) {
-    // The server may have closed the idle connection, so a new one is tried.
-    this->connection->stream.close();
-    this->connection = std::make_shared<HttpConnection>(this->strand);
-    return false;
+  // Servers may close a connection that has been idle at any time.
+  const bool closed_while_idle =
+      failure && !this->response_begun &&
+      CodeOf(failure) == kernel::ErrorCode::kConnectionLost;
+  if (!closed_while_idle) {
+    this->FinishResponse(parser, failure, yield);
+    return true;
   }
-  this->observer->OnHead(static_cast<int>(parser->get().result_int()),
-                         CopyFields(parser->get()));
-  return true;
+  this->connection->stream.close();
+  this->connection = std::make_shared<HttpConnection>(this->strand);
+  return false;
 }
 
 bool HttpCall::Connect(asio::yield_context yield) {
   const auto resolved = ResolveAddress(this->address);
   if (const kernel::Error* error = kernel::ErrorOf(resolved)) {
-    this->End()->OnFailed(*error, SendState::kNotSent);
+    this->End()->OnFailed(*error, this->send_state);
     return false;
   }
   beast::error_code failure;
@@ -138,7 +135,7 @@
   }
   if (!failure && this->aborted) failure = asio::error::operation_aborted;
   if (failure) {
-    this->Fail("connect", failure, SendState::kNotSent);
+    this->Fail("connect", failure);
     return false;
   }
   SetTransportTimeouts(this->connection->stream.socket().native_handle());
@@ -161,6 +158,7 @@
   message.body() = {this->request.body.data(), this->request.body.size()};
   message.prepare_payload();
   beast::error_code failure;
+  this->send_state = SendState::kMaybeSent;
   this->connection->stream.expires_at(std::min(
       kernel::Clock::now() + this->limits.head_timeout, this->deadline));
   beast::http::async_write(this->connection->stream, message, yield[failure]);
@@ -172,7 +170,7 @@
   // Frees the body, which can be large, before the wait for the response.
   this->request.body = std::string();
   if (!failure) return true;
-  this->Fail("send", failure, SendState::kMaybeSent);
+  this->Fail("send", failure);
   return false;
 }
 
@@ -186,6 +184,7 @@
     beast::http::async_read_header(this->connection->stream,
                                    this->connection->buffer, *parser,
                                    yield[failure]);
+    this->response_begun = this->response_begun || parser->got_some();
     const unsigned status = parser->get().result_int();
     if (failure || status >= kFirstFinalStatus) return failure;
     // The request asks for no other protocol, so nothing may follow in one.
@@ -194,15 +193,15 @@
   return beast::http::error::bad_status;
 }
 
-bool HttpCall::ReadHead(Parser& parser, asio::yield_context yield) {
-  const beast::error_code failure = this->ReadFinalHead(parser, yield);
+void HttpCall::FinishResponse(Parser& parser, const beast::error_code& failure,
+                              asio::yield_context yield) {
   if (failure) {
-    this->Fail("read_head", failure, SendState::kMaybeSent);
-    return false;
+    this->Fail("read_head", failure);
+    return;
   }
   this->observer->OnHead(static_cast<int>(parser->get().result_int()),
                          CopyFields(parser->get()));
-  return true;
+  this->ReadBody(parser, yield);
 }
 
 void HttpCall::ReadBody(Parser& parser, asio::yield_context yield) {
@@ -227,15 +226,14 @@
     if (!failure && is_late && !parser->is_done())
       failure = beast::error::timeout;
     if (failure) {
-      this->Fail("read_body", failure, SendState::kMaybeSent);
+      this->Fail("read_body", failure);
       return;
     }
   }
   const bool ends_with_connection = parser->need_eof();
   if (ends_with_connection && !this->limits.close_ends_response) {
     // Such a response can't be distinguished from a truncated one.
-    this->Fail("read_body", beast::http::error::partial_message,
-               SendState::kMaybeSent);
+    this->Fail("read_body", beast::http::error::partial_message);
     return;
   }
   this->SetResetOnClose(false);
@@ -269,12 +267,11 @@
   return std::move(this->observer);
 }
 
-void HttpCall::Fail(std::string_view step, const beast::error_code& failure,
-                    SendState state) {
+void HttpCall::Fail(std::string_view step, const beast::error_code& failure) {
   this->connection->stream.close();
   this->End()->OnFailed(kernel::Error{CodeOf(failure), std::string(step),
                                       this->address, failure.message()},
-                        state);
+                        this->send_state);
 }
 
 }  // namespace banyanlane::http
--- a/src/http/internal/http_call.h
+++ b/src/http/internal/http_call.h
@@ -36,9 +36,10 @@
   /// Runs the call and reports its end, also if it fails with an exception.
   void Run(asio::yield_context yield);
   void SendAndReceive(asio::yield_context yield);
-  /// Sends the request on the reused connection, if there is one.
-  /// @return whether the response head was received.
-  bool TryIdleConnection(Parser& parser, asio::yield_context yield);
+  /// Runs the call on the reused connection.
+  /// @return false if the peer closed the connection before anything of the
+  /// response arrived, so that the call must use a new one.
+  bool TryIdleConnection(asio::yield_context yield);
   /// Opens the new connection.
   /// @return false if this failed and the failure was reported to the observer.
   bool Connect(asio::yield_context yield);
@@ -49,9 +50,10 @@
   bool SendRequest(asio::yield_context yield);
   /// Reads the head of the final response. Interim ones are skipped.
   beast::error_code ReadFinalHead(Parser& parser, asio::yield_context yield);
-  /// Reads the response head and passes it to the observer.
-  /// @return false if this failed and the failure was reported to the observer.
-  bool ReadHead(Parser& parser, asio::yield_context yield);
+  /// Passes the response head to the observer and reads the body.
+  /// @param failure failure to read the head, with which the call ends.
+  void FinishResponse(Parser& parser, const beast::error_code& failure,
+                      asio::yield_context yield);
   void ReadBody(Parser& parser, asio::yield_context yield);
   /// Sets whether closing the connection resets it. The operating system still
   /// delivers a request after an orderly close, however long that takes.
@@ -60,8 +62,7 @@
   /// Releases the observer and the connection.
   /// @return the observer, which receives the end of the call.
   std::shared_ptr<IHttpCallObserver> End();
-  void Fail(std::string_view step, const beast::error_code& failure,
-            SendState state);
+  void Fail(std::string_view step, const beast::error_code& failure);
 
   /// Null if the call must not reuse connections.
   std::shared_ptr<ConnectionCache> cache;
@@ -76,6 +77,9 @@
   /// Null after the end of the call.
   std::shared_ptr<IHttpCallObserver> observer;
   kernel::TimePoint deadline = kernel::TimePoint::max();
+  /// Whether the peer can have received the request on any connection.
+  SendState send_state = SendState::kNotSent;
+  bool response_begun = false;  ///< Whether any of a response has arrived.
   bool paused = false;
   bool aborted = false;
 };
--- a/src/http/tests/cut_response_test.cc
+++ b/src/http/tests/cut_response_test.cc
@@ -1,4 +1,7 @@
 #include <criterion/criterion.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <condition_variable>
 #include <map>
@@ -150,16 +153,16 @@
   CutServer server;  ///< Last, since its thread uses the other members.
 };
 
-std::shared_ptr<CallRecorder> MakeCall(IHttpRuntime& runtime,
-                                       const CuttingServer& server,
-                                       const std::string& method,
-                                       const std::string& target,
-                                       const CallLimits& limits) {
+std::shared_ptr<CallRecorder> StartCall(IHttpRuntime& runtime,
+                                        const std::string& address,
+                                        const std::string& method,
+                                        const std::string& target,
+                                        const CallLimits& limits) {
   auto recorder = std::make_shared<CallRecorder>();
   HttpRequest request;
   request.method = method;
   request.target = target;
-  runtime.Call(server.address(), std::move(request), limits, recorder);
+  runtime.Call(address, std::move(request), limits, recorder);
   return recorder;
 }
 
@@ -175,9 +178,10 @@
                const WholeResponse& whole, std::size_t sent, CloseKind close,
                const CallLimits& limits) {
   if (limits.reuse_connection)
-    MakeCall(runtime, server, "GET", "/warm", limits)->AwaitEnd();
+    StartCall(runtime, server.address(), "GET", "/warm", limits)->AwaitEnd();
   server.Prepare({whole.bytes.substr(0, sent), close});
-  const auto call = MakeCall(runtime, server, whole.method, "/cut", limits);
+  const auto call =
+      StartCall(runtime, server.address(), whole.method, "/cut", limits);
   const bool complete = call->AwaitEnd();
   const bool sent_again = server.WasReused() && sent == 0;
   const std::string text = whole.name + ", " + std::to_string(sent) + " of " +
@@ -213,6 +217,24 @@
   runtime->Stop();
 }
 
+CallLimits ReuseLimits() {
+  CallLimits limits;
+  limits.reuse_connection = true;
+  return limits;
+}
+
+/// Returns the server's end of a connection that the next call uses again.
+std::shared_ptr<processes::RawConnection> OpenIdleConnection(
+    IHttpRuntime& runtime, int listener, const std::string& address) {
+  const auto call = StartCall(runtime, address, "GET", "/", ReuseLimits());
+  auto connection = std::make_shared<processes::RawConnection>(
+      accept(listener, nullptr, nullptr));
+  connection->ReadRequest();
+  connection->Send("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+  cr_assert(call->AwaitEnd());
+  return connection;
+}
+
 }  // namespace
 
 // Guards against a response that ends within its head or body and is taken for
@@ -229,4 +251,50 @@
   ExpectAllCuts(limits);
 }
 
+// Guards against a request that runs twice although its response had begun.
+Test(cut_response, on_a_reused_connection_does_not_repeat_the_request,
+     .timeout = 60) {
+  ExpectAllCuts(ReuseLimits());
+}
+
+// Guards against a call that exceeds its total time, since it sends its request
+// again when the first copy has timed out.
+Test(cut_response, that_never_comes_on_a_reused_connection_ends_the_call,
+     .timeout = 60) {
+  std::string address;
+  const int listener = processes::ListenAt("127.0.0.1:0", address);
+  const auto runtime = MakeHttpRuntime();
+  runtime->Start(1);
+  const auto connection = OpenIdleConnection(*runtime, listener, address);
+  CallLimits limits = ReuseLimits();
+  limits.total_timeout = kernel::Millis(200);
+  const auto call = StartCall(*runtime, address, "GET", "/", limits);
+  cr_assert_neq(connection->ReadRequest(), "");
+  cr_expect_not(call->AwaitEnd());
+  cr_expect(call->error.code == kernel::ErrorCode::kTimeout);
+  pollfd another{listener, POLLIN, 0};
+  cr_expect_eq(poll(&another, 1, 0), 0, "sent again");
+  runtime->Stop();
+  close(listener);
+}
+
+// Guards against a request that may have run, and is reported as not sent
+// because no second connection could be opened.
+Test(cut_response, on_a_reused_connection_may_have_reached_the_server,
+     .timeout = 60) {
+  std::string address;
+  const int listener = processes::ListenAt("127.0.0.1:0", address);
+  const auto runtime = MakeHttpRuntime();
+  runtime->Start(1);
+  auto connection = OpenIdleConnection(*runtime, listener, address);
+  const auto call = StartCall(*runtime, address, "GET", "/", ReuseLimits());
+  cr_assert_neq(connection->ReadRequest(), "");
+  close(listener);
+  connection.reset();
+  cr_expect_not(call->AwaitEnd());
+  cr_expect(call->error.code == kernel::ErrorCode::kUnreachable);
+  cr_expect(call->send_state == SendState::kMaybeSent);
+  runtime->Stop();
+}
+
 }  // namespace banyanlane::http
