--- a/tests/processes/gateway_cut_head_test.cc
+++ b/tests/processes/gateway_cut_head_test.cc
@@ -1,11 +1,8 @@
 #include <criterion/criterion.h>
 
-#include <map>
-#include <mutex>
 #include <nlohmann/json.hpp>
-#include <optional>
 
-#include "processes/cut_server.h"
+#include "processes/cut_responses.h"
 #include "processes/gateway_fleet.h"
 
 namespace banyanlane::processes {
@@ -19,15 +16,6 @@
 /// Length of an event of the streams.
 constexpr std::size_t kEventBytes = 15;
 
-/// Response of the server as it is when nothing cuts it.
-struct WholeResponse {
-  const char* name;
-  std::string head;  ///< All up to the body, with interim responses.
-  std::string body;  ///< As it is sent.
-  std::string text;  ///< As callers receive it.
-  bool ends_with_connection = false;
-};
-
 const std::string kStatusLine = "HTTP/1.1 200 OK\r\nx-server-stamp: s\r\n";
 const std::string kInterim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n";
 const std::string kChunked = "transfer-encoding: chunked\r\n\r\n";
@@ -88,26 +76,20 @@
     this->PublishRoutes();
   }
 
-  /// Sends a request whose response is `cut`.
-  std::shared_ptr<ResponseRecorder> Request(const std::string& id,
-                                            const std::string& method,
-                                            const std::string& path,
-                                            CutResponse cut) {
-    {
-      const std::lock_guard<std::mutex> lock(this->mutex);
-      this->cuts[id] = std::move(cut);
-    }
-    return this->fleet.StartRequest("g1", MakeRequest(method, path, id));
-  }
-
-  /// Returns how often the request `id` ran.
-  int Runs(const std::string& id) {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    return this->runs[id];
+  /// Requests all cuts of a response.
+  std::vector<Cut> RequestCutsOf(const WholeResponse& whole,
+                                 const std::string& method,
+                                 const std::string& path) {
+    std::vector<Cut> cuts = AllCutsOf(whole);
+    const auto send = [&](const std::string& id) {
+      return this->fleet.StartRequest("g1", MakeRequest(method, path, id));
+    };
+    RequestAll(this->plan, send, cuts);
+    return cuts;
   }
 
-  /// Returns an id for a request.
-  std::string NextId() { return "r" + std::to_string(++this->requests); }
+  /// Returns how often the request of `cut` ran.
+  int Runs(const Cut& cut) { return this->plan.Runs(cut.id); }
 
  private:
   void PublishRoutes() {
@@ -135,93 +117,24 @@
 
   CutResponse Respond(const std::string& head) {
     const std::string id = RawConnection::FieldOf(head, "x-request-id");
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    ++this->runs[id];
-    const auto found = this->cuts.find(id);
-    if (found != this->cuts.end()) return found->second;
-    return {kStatusLine + "content-length: 0\r\n\r\n"};
+    return this->plan.Take(id).value_or(
+        CutResponse{kStatusLine + "content-length: 0\r\n\r\n"});
   }
 
   GatewayFleet fleet;
-  std::mutex mutex;
-  std::map<std::string, CutResponse> cuts;  ///< By request.
-  std::map<std::string, int> runs;          ///< By request.
-  int requests = 0;
+  CutPlan plan;
   std::unique_ptr<CutServer> server;  ///< Last, its thread uses the others.
 };
 
-/// One response that is cut, and what the caller receives.
-struct Cut {
-  WholeResponse whole;
-  std::size_t sent = 0;
-  CloseKind close = CloseKind::kEnd;
-  std::string id;
-  std::shared_ptr<ResponseRecorder> received;
-};
-
-std::string Describe(const Cut& cut) {
-  return std::string(cut.whole.name) + ", " + std::to_string(cut.sent) +
-         " of " + std::to_string(cut.whole.head.size()) + " + " +
-         std::to_string(cut.whole.body.size()) + " bytes, " +
-         NameOf(cut.close) + ": status " +
-         std::to_string(cut.received->status()) + ", complete " +
-         std::to_string(static_cast<int>(cut.received->complete())) + ", '" +
-         cut.received->text() + "'";
-}
-
-/// Returns what callers may take for the whole body after `sent` bytes, or
-/// nothing if that is none.
-std::optional<std::string> CompleteText(const Cut& cut) {
-  const WholeResponse& whole = cut.whole;
-  if (!whole.ends_with_connection) {
-    const bool is_whole = cut.sent == whole.head.size() + whole.body.size();
-    return is_whole ? std::optional(whole.text) : std::nullopt;
-  }
-  if (cut.close == CloseKind::kReset || cut.sent < whole.head.size())
-    return std::nullopt;
-  return whole.text.substr(0, cut.sent - whole.head.size());
-}
-
-/// Requests all of `cuts` at once, and again those that the server has not
-/// received: a gateway spares a server that has failed.
-void RequestAll(CutFleet& fleet, const std::string& method,
-                const std::string& path, std::vector<Cut>& cuts) {
-  std::vector<Cut*> pending;
-  for (Cut& cut : cuts) pending.push_back(&cut);
-  const bool all_arrived = Fleet::Await([&] {
-    for (Cut* cut : pending) {
-      cut->id = fleet.NextId();
-      const std::string bytes = cut->whole.head + cut->whole.body;
-      cut->received = fleet.Request(cut->id, method, path,
-                                    {bytes.substr(0, cut->sent), cut->close});
-    }
-    std::vector<Cut*> missing;
-    for (Cut* cut : pending) {
-      cr_assert(Fleet::Await([&] { return cut->received->finished(); }));
-      if (fleet.Runs(cut->id) == 0) missing.push_back(cut);
-    }
-    pending = missing;
-    return pending.empty();
-  });
-  cr_assert(all_arrived, "%zu", pending.size());
-}
-
 /// Cuts each response after each of its bytes, with each kind of close.
 void ExpectOfEachCut(CutFleet& fleet, const std::string& method,
                      const std::string& path,
                      const std::vector<WholeResponse>& responses,
                      const std::function<void(const Cut& cut)>& check) {
   for (const WholeResponse& whole : responses) {
-    std::vector<Cut> cuts;
-    const std::size_t size = whole.head.size() + whole.body.size();
-    for (const CloseKind close : kCloseKinds) {
-      for (std::size_t sent = 0; sent <= size; ++sent)
-        cuts.push_back({whole, sent, close, "", nullptr});
-    }
-    RequestAll(fleet, method, path, cuts);
-    for (const Cut& cut : cuts) {
-      cr_expect_eq(fleet.Runs(cut.id), 1, "%s: %d runs", Describe(cut).c_str(),
-                   fleet.Runs(cut.id));
+    for (const Cut& cut : fleet.RequestCutsOf(whole, method, path)) {
+      cr_expect_eq(fleet.Runs(cut), 1, "%s: %d runs", Describe(cut).c_str(),
+                   fleet.Runs(cut));
       check(cut);
     }
   }
