--- a/tests/processes/cut_server.cc
+++ b/tests/processes/cut_server.cc
@@ -1,5 +1,7 @@
 #include "processes/cut_server.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -47,6 +49,8 @@
   while (!this->stopping) {
     const int descriptor = accept(this->listener, nullptr, nullptr);
     if (descriptor < 0) continue;
+    const int enabled = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
     auto connection = std::make_shared<RawConnection>(descriptor);
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
