Serve requests without a time limit

What callers saw: on a route without timeoutMs, a request without X-Deadline-Ms got 504 at once, and so did one whose X-Deadline-Ms is so large that the deadline overflowed, or one whose field is no number.

Cause: an absent limit was the number 0, in the request, in the deadline and in what is passed on to the server.

In the stop, no request without a limit was served.

The fix: the limit is optional from the request to the attempt; without one, no X-Deadline-Ms is passed on, the deadline is the end of all time, and a stop accepts the request only while callers learn of it. A whole number that is too large stays a limit, so that a server gets one (BUDGET). Requests without a limit wait for capacity as long as streams do, and are not sent again because an endpoint is silent; a lost machine is noticed by TCP.

--- a/src/config/profile.h
+++ b/src/config/profile.h
@@ -34,7 +34,8 @@
   bool repeatable = true;   ///< False if the work must run at most once.
   /// Maximum priority that a caller can request, 0 to 9.
   std::int64_t priority_ceiling = 0;
-  /// Maximum time from a request's arrival to its response.
+  /// Maximum time from a request's arrival to its response; 0 or less if the
+  /// profile names none, which only gateways allow.
   std::int64_t deadline_ms = 0;
   /// Maximum time from the start of an attempt to its first response byte.
   std::int64_t attempt_timeout_ms = 0;
--- a/src/direct/i_caller_protocol.h
+++ b/src/direct/i_caller_protocol.h
@@ -32,8 +32,9 @@
   /// refuse it.
   std::string endpoint_id;
   std::string organisation;
-  std::int64_t deadline_ms = 0;  ///< Milliseconds left until the deadline.
-  std::int64_t urgency = 0;      ///< 0 is the most urgent.
+  /// Milliseconds left until the deadline, if the request has one.
+  std::optional<std::int64_t> deadline_ms;
+  std::int64_t urgency = 0;  ///< 0 is the most urgent.
   std::optional<std::uint64_t> last_event_id;
 };
 
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -24,14 +24,22 @@
 
 DirectActions DirectFlow::Start(kernel::TimePoint now) {
   this->arrived_at = now;
-  this->deadline = now + this->request.TimeLimit();
+  if (const auto limit = this->request.TimeLimit())
+    this->deadline = now + *limit;
   this->context.retries.OnRequest(this->request.service, now);
   this->SendOrWait(now);
   return this->TakeActions();
 }
 
-std::int64_t DirectFlow::MillisLeft(kernel::TimePoint now) const {
-  return kernel::MillisBetween(now, this->deadline);
+std::optional<kernel::Millis> DirectFlow::TimeLeft(
+    kernel::TimePoint now) const {
+  if (this->deadline == kernel::TimePoint::max()) return std::nullopt;
+  return std::chrono::duration_cast<kernel::Millis>(this->deadline - now);
+}
+
+bool DirectFlow::HasTimeForRetry(kernel::TimePoint now) const {
+  const auto left = this->TimeLeft(now);
+  return !left || *left >= this->context.limits.min_time_left;
 }
 
 bool DirectFlow::IsCurrent(std::uint64_t number) const {
@@ -107,24 +115,25 @@
   this->head = ResponseHead{};
   this->body.clear();
   this->splitter = EventSplitter{};
-  const std::int64_t time_left_ms = this->MillisLeft(now);
+  const auto time_left = this->TimeLeft(now);
   const bool can_retry = this->request.IsRepeatable() &&
                          this->sent_attempts < this->request.profile->attempts;
   this->attempt_deadline = this->deadline;
   if (can_retry && this->request.profile->streaming)
     this->attempt_deadline = now + this->context.limits.stream_stall_timeout;
-  if (can_retry && !this->request.profile->streaming)
-    this->attempt_deadline = now + kernel::Millis(time_left_ms / 2);
+  if (can_retry && !this->request.profile->streaming && time_left)
+    this->attempt_deadline = now + *time_left / 2;
   CallEndpoint call;
   call.attempt = this->attempt;
   call.endpoint = *choice;
   call.parameters.endpoint_id = choice->id;
   call.parameters.organisation = this->request.organisation;
-  call.parameters.deadline_ms = time_left_ms;
+  if (time_left) call.parameters.deadline_ms = time_left->count();
   call.parameters.urgency = this->request.urgency;
   call.parameters.last_event_id = this->last_delivered_id;
-  call.connect_timeout = std::min(this->context.limits.connect_timeout,
-                                  kernel::Millis(time_left_ms));
+  const kernel::Millis connect_timeout = this->context.limits.connect_timeout;
+  call.connect_timeout =
+      std::min(connect_timeout, time_left.value_or(connect_timeout));
   this->actions.push_back(std::move(call));
   return true;
 }
@@ -182,8 +191,10 @@
 
 kernel::Millis DirectFlow::MaxWait(kernel::TimePoint now) const {
   const DirectLimits& limits = this->context.limits;
+  const auto time_left = this->TimeLeft(now);
+  if (!time_left) return limits.max_stream_wait;
   const auto max_wait = kernel::Millis(static_cast<std::int64_t>(
-      static_cast<double>(this->MillisLeft(now)) * limits.max_wait_fraction));
+      static_cast<double>(time_left->count()) * limits.max_wait_fraction));
   return this->request.profile->streaming
              ? std::min(max_wait, limits.max_stream_wait)
              : max_wait;
@@ -233,7 +244,7 @@
   ++this->connect_failures;
   const bool should_fail =
       this->connect_failures > this->context.limits.max_connect_failures ||
-      this->MillisLeft(now) < this->context.limits.min_time_left.count();
+      !this->HasTimeForRetry(now);
   if (should_fail) {
     this->FailRequest("unreachable", this->RetryAfter(now));
   } else {
@@ -267,7 +278,7 @@
   const bool can_resume = !this->head_sent || this->last_delivered_has_id;
   const bool allowed =
       can_resume && this->sent_attempts < this->request.profile->attempts &&
-      this->MillisLeft(now) >= this->context.limits.min_time_left.count() &&
+      this->HasTimeForRetry(now) &&
       this->context.retries.TryAcquire(this->request.service,
                                        this->context.gateway_count, now);
   if (!allowed) return false;
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -40,8 +40,8 @@
   kernel::Millis progress_window{500};
   /// Longest wait for capacity, as a fraction of the time left to the deadline.
   double max_wait_fraction = 0.25;
-  /// Longest wait of a stream for capacity. Callers of streams disconnect when
-  /// nothing arrives.
+  /// Longest wait for capacity of a stream, whose caller disconnects when
+  /// nothing arrives, and of a request without a time limit.
   kernel::Millis max_stream_wait{1'500};
   /// A request that waits for less than this fraction of its profile's latency
   /// goal can still be answered on time.
@@ -187,7 +187,10 @@
   /// Adds to the fields of request_ended how the stream met its goals.
   void AddProgress(kernel::EventFields& fields) const;
   std::int64_t Jittered(kernel::Millis span);
-  std::int64_t MillisLeft(kernel::TimePoint now) const;
+  /// Returns the time left to the deadline, or nothing without a deadline.
+  std::optional<kernel::Millis> TimeLeft(kernel::TimePoint now) const;
+  /// Returns whether enough time is left for a retry.
+  bool HasTimeForRetry(kernel::TimePoint now) const;
   bool IsCurrent(std::uint64_t number) const;
   DirectActions TakeActions();
 
@@ -197,7 +200,8 @@
   std::minstd_rand random;
   State state = State::kIdle;
   kernel::TimePoint arrived_at;
-  kernel::TimePoint deadline;  ///< Deadline of the caller or the profile.
+  /// Deadline of the caller or the profile; the end of all time without one.
+  kernel::TimePoint deadline = kernel::TimePoint::max();
   kernel::TimePoint wait_deadline;
   kernel::TimePoint attempt_deadline;
   std::uint64_t ticket = 0;  ///< Ticket in the request queue.
--- a/src/direct/internal/direct_request.h
+++ b/src/direct/internal/direct_request.h
@@ -12,6 +12,11 @@
 
 namespace banyanlane::direct {
 
+/// Longest time limit of a request. Longer ones are shortened to it, so that
+/// no point in time overflows. It also bounds the calls of requests without a
+/// limit.
+inline constexpr kernel::Millis kMaxTimeLimit = std::chrono::hours(24);
+
 /// A validated request and its treatment according to its profile.
 struct DirectRequest {
   config::ConfigPtr config;  ///< Keeps `profile` alive.
@@ -21,8 +26,9 @@
   std::string request_id;
   std::string organisation;
   std::int64_t urgency = 0;  ///< 0 is the most urgent.
-  /// Milliseconds from the arrival to the caller's deadline.
-  std::int64_t deadline_ms = 0;
+  /// Milliseconds from the arrival to the caller's deadline, if the caller has
+  /// one.
+  std::optional<std::int64_t> deadline_ms;
   std::optional<std::uint64_t> last_event_id;
   http::HttpRequest message;
   /// Keys that this request shares with others that may crash endpoints in the
@@ -30,11 +36,15 @@
   std::vector<std::string> work_keys;
 
   /// Returns the longest time from the arrival to the end of the response: the
-  /// caller's deadline or the profile's, whichever comes first.
-  kernel::Millis TimeLimit() const {
+  /// caller's deadline or the profile's, whichever comes first. Returns nothing
+  /// if neither is known.
+  std::optional<kernel::Millis> TimeLimit() const {
     const std::int64_t bound = this->profile->deadline_ms;
-    return kernel::Millis(bound > 0 ? std::min(bound, this->deadline_ms)
-                                    : this->deadline_ms);
+    if (bound <= 0 && !this->deadline_ms) return std::nullopt;
+    std::int64_t limit = kMaxTimeLimit.count();
+    if (bound > 0) limit = std::min(limit, bound);
+    if (this->deadline_ms) limit = std::min(limit, *this->deadline_ms);
+    return kernel::Millis(std::max<std::int64_t>(0, limit));
   }
 
   /// Returns whether a successful response consists of events.
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -135,7 +135,9 @@
   message.headers = this->environment.protocol->WriteAttemptHeaders(
       direct_request.message, action.parameters);
   const kernel::Millis call_timeout =
-      kernel::Millis(action.parameters.deadline_ms) + kCallTimeoutMargin;
+      kernel::Millis(
+          action.parameters.deadline_ms.value_or(kMaxTimeLimit.count())) +
+      kCallTimeoutMargin;
   http::CallLimits limits;
   limits.connect_timeout = action.connect_timeout;
   limits.head_timeout = call_timeout;
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -168,9 +168,10 @@
     direct_request.work_keys.push_back("part:" + part);
   direct_request.work_keys.push_back(
       RequestKey(request, host, direct_request.organisation));
-  direct_request.deadline_ms =
-      head.deadline_ms.value_or(direct_request.profile->deadline_ms);
-  if (!this->stop.TryAccept(direct_request.TimeLimit(), now))
+  direct_request.deadline_ms = head.deadline_ms;
+  const kernel::Millis time_limit =
+      direct_request.TimeLimit().value_or(kMaxTimeLimit);
+  if (!this->stop.TryAccept(time_limit, now))
     return Rejection{kUnavailable, "leaving", 0};
   direct_request.message = std::move(request);
   direct_request.message.authority = host;
