Let slow callers take a response as long as they make progress

What callers saw: a response whose caller reads steadily, but needs more than 15 s for one write, was cut off: the whole body of a complete response, or one chunk of a stream, although the server was sound.

Cause: the time-out of a write bounded the whole write, and a send buffer of 4 MB takes more only when about a third of it is free.

Evidence: slow_caller/receives_a_whole_response, with a time-out of 2 s, failed before, for a body with a length and for a chunk.

A caller that takes nothing is cut off as before (slow_caller/is_cut_off_when_it_takes_nothing, which passed before and after). A response is written from its body, without a copy, which halves the memory that a slow caller holds.

--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -82,7 +82,8 @@
   std::uint32_t read_timeout_ms = 10'000;
   /// Maximum time that a connection waits for its next request.
   std::uint32_t idle_timeout_ms = 60'000;
-  /// Maximum time for one write to complete.
+  /// Maximum time for which a caller takes nothing of a response that is
+  /// written to it.
   std::uint32_t write_timeout_ms = 15'000;
 };
 
--- a/src/http/internal/http_exchange.cc
+++ b/src/http/internal/http_exchange.cc
@@ -12,6 +12,8 @@
 /// Maximum number of bytes of further requests that are received while one is
 /// in progress.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} * 1024;
+/// Maximum number of bytes that are passed to the system at a time.
+constexpr std::size_t kMaxWriteBytes = std::size_t{64} * 1024;
 
 beast::string_view ToBeast(std::string_view text) {
   return {text.data(), text.size()};
@@ -72,7 +74,8 @@
       yield(yield),
       received(std::move(request)),
       is_head(received.method == kHeadMethod),
-      limits(limits),
+      write_deadline(std::make_shared<WriteDeadline>(
+          stream, strand, kernel::Millis(limits.write_timeout_ms))),
       signal(std::make_shared<ExchangeSignal>(strand)),
       keep_alive(keep_alive) {}
 
@@ -96,28 +99,57 @@
   }
 }
 
+template <typename WriteSteps>
+bool HttpExchange::Write(WriteSteps write_steps) {
+  beast::error_code failure;
+  this->write_deadline->Begin(kernel::Clock::now());
+  write_steps(failure);
+  this->write_deadline->End();
+  this->failed = static_cast<bool>(failure);
+  return !this->failed;
+}
+
+template <typename Buffers>
+void HttpExchange::WriteBuffers(const Buffers& buffers,
+                                beast::error_code& failure) {
+  std::size_t counted = 0;
+  const auto count = [this, &counted](std::size_t total) {
+    this->write_deadline->OnWritten(total - counted);
+    counted = total;
+  };
+  const auto condition = [&count](const beast::error_code& error,
+                                  std::size_t total) -> std::size_t {
+    count(total);
+    return error ? 0 : kMaxWriteBytes;
+  };
+  count(asio::async_write(this->stream, buffers, condition,
+                          this->yield[failure]));
+}
+
 void HttpExchange::Reply(const HttpResponse& response) {
-  beast::http::response<beast::http::string_body> message;
+  beast::http::response<beast::http::span_body<const char>> message;
   message.version(kHttpVersion);
   message.result(static_cast<unsigned>(response.status));
   this->SetFields(message, response.headers);
   message.keep_alive(this->keep_alive);
-  message.body() = response.body;
+  message.body() = {response.body.data(), response.body.size()};
   // The body of an endpoint's response to HEAD is empty, and its length is not
   // known here.
   if (!this->is_head || !response.body.empty()) message.prepare_payload();
-  beast::error_code failure;
-  this->stream.expires_after(kernel::Millis(this->limits.write_timeout_ms));
-  beast::http::response_serializer<beast::http::string_body> serializer(
-      message);
-  if (this->is_head) {
-    beast::http::async_write_header(this->stream, serializer,
-                                    this->yield[failure]);
-  } else {
-    beast::http::async_write(this->stream, serializer, this->yield[failure]);
-  }
+  beast::http::response_serializer<beast::http::span_body<const char>>
+      serializer(message);
+  this->Write([&](beast::error_code& failure) {
+    if (this->is_head) {
+      beast::http::async_write_header(this->stream, serializer,
+                                      this->yield[failure]);
+      return;
+    }
+    while (!failure && !serializer.is_done()) {
+      this->write_deadline->OnWritten(beast::http::async_write_some(
+          this->stream, serializer, this->yield[failure]));
+    }
+  });
   this->ended = true;
-  this->failed = static_cast<bool>(failure);
 }
 
 bool HttpExchange::BeginStream(int status, const Headers& headers) {
@@ -128,35 +160,28 @@
   message.keep_alive(this->keep_alive);
   message.chunked(true);
   beast::http::response_serializer<beast::http::empty_body> serializer(message);
-  beast::error_code failure;
-  this->stream.expires_after(kernel::Millis(this->limits.write_timeout_ms));
-  beast::http::async_write_header(this->stream, serializer,
-                                  this->yield[failure]);
-  this->failed = static_cast<bool>(failure);
-  return !this->failed;
+  return this->Write([&](beast::error_code& failure) {
+    beast::http::async_write_header(this->stream, serializer,
+                                    this->yield[failure]);
+  });
 }
 
 bool HttpExchange::WriteChunk(std::string_view data) {
   if (data.empty() || this->failed || this->is_head) return !this->failed;
-  beast::error_code failure;
-  this->stream.expires_after(kernel::Millis(this->limits.write_timeout_ms));
-  asio::async_write(
-      this->stream,
-      beast::http::make_chunk(asio::const_buffer(data.data(), data.size())),
-      this->yield[failure]);
-  this->failed = static_cast<bool>(failure);
-  return !this->failed;
+  return this->Write([&](beast::error_code& failure) {
+    this->WriteBuffers(
+        beast::http::make_chunk(asio::const_buffer(data.data(), data.size())),
+        failure);
+  });
 }
 
 void HttpExchange::EndStream() {
   if (this->failed) return;
   this->ended = true;
   if (this->is_head) return;
-  beast::error_code failure;
-  this->stream.expires_after(kernel::Millis(this->limits.write_timeout_ms));
-  asio::async_write(this->stream, beast::http::make_chunk_last(),
-                    this->yield[failure]);
-  this->failed = static_cast<bool>(failure);
+  this->Write([&](beast::error_code& failure) {
+    this->WriteBuffers(beast::http::make_chunk_last(), failure);
+  });
 }
 
 void HttpExchange::Abort() {
--- a/src/http/internal/http_exchange.h
+++ b/src/http/internal/http_exchange.h
@@ -6,6 +6,7 @@
 
 #include "http/i_http_handler.h"
 #include "http/internal/asio_http.h"
+#include "http/internal/write_deadline.h"
 
 namespace banyanlane::http {
 
@@ -71,13 +72,21 @@
 
  private:
   void SetFields(beast::http::fields& fields, const Headers& headers) const;
+  /// Runs `write_steps`, which write to the stream and report their failure,
+  /// while the caller takes data.
+  /// @return whether they succeeded.
+  template <typename WriteSteps>
+  bool Write(WriteSteps write_steps);
+  /// Writes all of `buffers`.
+  template <typename Buffers>
+  void WriteBuffers(const Buffers& buffers, beast::error_code& failure);
 
   StrandStream& stream;
   beast::flat_buffer& buffer;
   asio::yield_context yield;
   HttpRequest received;
   bool is_head;  ///< Responses to the request have no body.
-  ServerLimits limits;
+  std::shared_ptr<WriteDeadline> write_deadline;
   std::shared_ptr<ExchangeSignal> signal;
   bool keep_alive;
   bool watching = false;
