Hold an endpoint back while its caller reads slowly

What was seen: a gateway collects the events of a stream in memory while the caller takes them more slowly than the server sends them; with enough of them the gateway reaches its memory limit and all its callers lose their responses.

Cause: nothing stopped reading from the endpoint while a write to the caller was in progress.

The fix: DirectFlow counts the bytes that the caller has not taken.

--- a/src/direct/internal/direct_actions.h
+++ b/src/direct/internal/direct_actions.h
@@ -27,6 +27,16 @@
   std::uint64_t attempt = 0;
 };
 
+/// Stops reading the response to an attempt.
+struct PauseCall {
+  std::uint64_t attempt = 0;
+};
+
+/// Goes on reading the response to an attempt.
+struct ResumeCall {
+  std::uint64_t attempt = 0;
+};
+
 /// Reports to the endpoint pool that an attempt has ended.
 struct ReleaseEndpoint {
   EndpointChoice endpoint;
@@ -98,11 +108,11 @@
 };
 
 using DirectAction =
-    std::variant<CallEndpoint, CancelCall, ReleaseEndpoint,
-                 ReportLostConnection, ReportBegun, ReportSurvival,
-                 ReportRateLimit, ReportPause, SendResponse, SendStreamHead,
-                 SendEvents, SendStreamEnd, AbortResponse, SendRefusal,
-                 WriteLogEvent>;
+    std::variant<CallEndpoint, CancelCall, PauseCall, ResumeCall,
+                 ReleaseEndpoint, ReportLostConnection, ReportBegun,
+                 ReportSurvival, ReportRateLimit, ReportPause, SendResponse,
+                 SendStreamHead, SendEvents, SendStreamEnd, AbortResponse,
+                 SendRefusal, WriteLogEvent>;
 using DirectActions = std::vector<DirectAction>;
 
 }  // namespace banyanlane::direct
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -31,17 +31,6 @@
   return this->TakeActions();
 }
 
-std::optional<kernel::Millis> DirectFlow::TimeLeft(
-    kernel::TimePoint now) const {
-  if (this->deadline == kernel::TimePoint::max()) return std::nullopt;
-  return std::chrono::duration_cast<kernel::Millis>(this->deadline - now);
-}
-
-bool DirectFlow::HasTimeForRetry(kernel::TimePoint now) const {
-  const auto left = this->TimeLeft(now);
-  return !left || *left >= this->context.limits.min_time_left;
-}
-
 bool DirectFlow::IsCurrent(std::uint64_t number) const {
   return number == this->attempt && this->endpoint &&
          this->state != State::kDone;
@@ -112,6 +101,7 @@
   this->attempt_has_events = false;
   this->attempt_survived = false;
   this->attempt_resumes = this->head_sent;
+  this->is_held_back = false;
   this->head = ResponseHead{};
   this->body.clear();
   this->splitter = EventSplitter{};
@@ -189,24 +179,6 @@
       static_cast<double>(requests) / own_rate * kMillisPerSecond));
 }
 
-kernel::Millis DirectFlow::MaxWait(kernel::TimePoint now) const {
-  const DirectLimits& limits = this->context.limits;
-  const auto time_left = this->TimeLeft(now);
-  if (!time_left) return limits.max_stream_wait;
-  const auto max_wait = kernel::Millis(static_cast<std::int64_t>(
-      static_cast<double>(time_left->count()) * limits.max_wait_fraction));
-  return this->request.profile->streaming
-             ? std::min(max_wait, limits.max_stream_wait)
-             : max_wait;
-}
-
-kernel::TimePoint DirectFlow::DispatchBy() const {
-  const auto wait = static_cast<std::int64_t>(
-      static_cast<double>(this->request.profile->latency_goal_ms) *
-      this->context.limits.on_time_wait_fraction);
-  return this->arrived_at + kernel::Millis(wait);
-}
-
 void DirectFlow::LeaveQueue(kernel::TimePoint /*now*/) {
   this->context.queue.Remove(this->request.service, this->request.urgency,
                              this->ticket);
@@ -291,55 +263,6 @@
   return true;
 }
 
-DirectActions DirectFlow::OnTimer(kernel::TimePoint now) {
-  if (this->state == State::kDone) return {};
-  if (this->state == State::kQueued) {
-    if (now < this->wait_deadline && now < this->deadline) return {};
-    this->LeaveQueue(now);
-    this->FailRequest("no_room", this->RetryAfter(now), this->RestLeft(now));
-    return this->TakeActions();
-  }
-  if (now >= this->deadline) {
-    this->may_have_run = true;
-    this->CancelAttempt(AttemptResult::kCancelled);
-    this->FailRequest("timeout", this->context.limits.retry_after);
-    return this->TakeActions();
-  }
-  if (now < this->attempt_deadline) return {};
-  if (!this->IsOutlier(now) || !this->IsRetryUseful()) {
-    // A retry at another endpoint would gain nothing: all are silent, as when
-    // the ranks of a group wait for one another, or all are busy.
-    this->attempt_deadline = now + this->context.limits.stall_check_interval;
-    return this->TakeActions();
-  }
-  // When no retry is possible, the endpoint's silence is no reason to end the
-  // response.
-  if (!this->TryAcquireRetry(now)) {
-    this->attempt_deadline = this->deadline;
-    return this->TakeActions();
-  }
-  this->may_have_run = true;
-  this->CancelAttempt(AttemptResult::kBroken);
-  this->SendOrWait(now);
-  return this->TakeActions();
-}
-
-bool DirectFlow::IsOutlier(kernel::TimePoint now) const {
-  if (!this->request.profile->streaming || !this->endpoint) return true;
-  return this->context.pool.HasAnotherProgressed(
-      *this->endpoint, now - this->context.limits.progress_window);
-}
-
-bool DirectFlow::IsRetryUseful() const {
-  if (!this->request.profile->streaming || this->attempt_has_events)
-    return true;
-  const auto limit = static_cast<std::int64_t>(
-      static_cast<double>(this->context.limits.stream_stall_timeout.count()) *
-      this->context.limits.retry_first_event_fraction);
-  return this->context.pool.MeanFirstEventTime(this->request.service).count() <
-         limit;
-}
-
 DirectActions DirectFlow::OnCallerDisconnected(kernel::TimePoint now) {
   if (this->state == State::kDone) return {};
   if (this->state == State::kQueued) this->LeaveQueue(now);
@@ -348,13 +271,6 @@
   return this->TakeActions();
 }
 
-kernel::TimePoint DirectFlow::NextTimer() const {
-  if (this->state == State::kDone) return kernel::TimePoint::max();
-  if (this->state == State::kQueued)
-    return std::min(this->wait_deadline, this->deadline);
-  return std::min(this->attempt_deadline, this->deadline);
-}
-
 void DirectFlow::CancelAttempt(AttemptResult result) {
   if (!this->endpoint) return;
   this->actions.push_back(CancelCall{this->attempt});
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -65,6 +65,9 @@
   /// Size in bytes of the largest event of a stream. An endpoint whose event is
   /// larger sends no valid stream.
   std::size_t max_event_bytes = std::size_t{256} * 1024;
+  /// Size in bytes of the events that wait for a slow caller. Beyond it nothing
+  /// more is read from the endpoint.
+  std::size_t max_undelivered_bytes = std::size_t{256} * 1024;
 };
 
 /// Objects of the gateway that a flow uses. All of them outlive the flow.
@@ -100,6 +103,8 @@
   /// Sends the request if it is queued and an endpoint has capacity.
   DirectActions OnCapacity(kernel::TimePoint now);
   DirectActions OnTimer(kernel::TimePoint now);
+  /// Records that the caller has taken `bytes` of the events.
+  DirectActions OnDelivered(std::size_t bytes, kernel::TimePoint now);
   DirectActions OnCallerDisconnected(kernel::TimePoint now);
 
   /// Returns when OnTimer is due.
@@ -160,6 +165,8 @@
   /// Retries or fails the request after an attempt that may have run but gave
   /// no usable, complete response.
   void OnResponseLost(AttemptResult result, kernel::TimePoint now);
+  /// Stops reading from the endpoint if the caller takes events too slowly.
+  void HoldBackEndpoint();
   /// Returns whether other endpoints respond while this one is silent. For a
   /// request that is not a stream it returns true.
   bool IsOutlier(kernel::TimePoint now) const;
@@ -239,6 +246,9 @@
   /// The last event that the caller has received names its place in the stream,
   /// so that another endpoint can go on after it.
   bool last_delivered_has_id = false;
+  std::size_t undelivered_bytes = 0;  ///< Events that the caller has not taken.
+  /// Nothing is read from the endpoint until the caller has taken more.
+  bool is_held_back = false;
   StreamProgress progress;
   DirectActions actions;
 };
--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -126,7 +126,9 @@
       this->actions.push_back(
           SendStreamHead{this->head.status, this->head.headers});
     }
+    this->undelivered_bytes += text.size();
     this->actions.push_back(SendEvents{std::move(text)});
+    this->HoldBackEndpoint();
   }
   const bool is_endless =
       this->splitter.PartialEventBytes() > this->context.limits.max_event_bytes;
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -79,6 +79,8 @@
     const bool is_for_endpoint =
         std::holds_alternative<CallEndpoint>(action) ||
         std::holds_alternative<CancelCall>(action) ||
+        std::holds_alternative<PauseCall>(action) ||
+        std::holds_alternative<ResumeCall>(action) ||
         std::holds_alternative<ReleaseEndpoint>(action) ||
         std::holds_alternative<ReportLostConnection>(action) ||
         std::holds_alternative<ReportBegun>(action) ||
@@ -155,6 +157,14 @@
   if (this->call && this->call_attempt == action.attempt) this->call->Abort();
 }
 
+void DirectRunner::RunAction(const PauseCall& action) {
+  if (this->call && this->call_attempt == action.attempt) this->call->Pause();
+}
+
+void DirectRunner::RunAction(const ResumeCall& action) {
+  if (this->call && this->call_attempt == action.attempt) this->call->Resume();
+}
+
 void DirectRunner::RunAction(const ReleaseEndpoint& action) {
   this->environment.pool->Release(action.endpoint, action.result,
                                   kernel::Clock::now());
--- a/src/direct/internal/direct_runner.h
+++ b/src/direct/internal/direct_runner.h
@@ -67,6 +67,8 @@
   void RunActions();
   void RunAction(const CallEndpoint& action);
   void RunAction(const CancelCall& action);
+  void RunAction(const PauseCall& action);
+  void RunAction(const ResumeCall& action);
   void RunAction(const ReleaseEndpoint& action);
   void RunAction(const ReportLostConnection& action);
   void RunAction(const ReportBegun& action);
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -301,8 +301,12 @@
                                        kernel::Clock::now() - runner.started())
                                        .count());
     }
-    if (auto* events = std::get_if<SendEvents>(&action))
+    if (auto* events = std::get_if<SendEvents>(&action)) {
       is_connected = exchange.WriteChunk(events->text);
+      runner.UpdateFlow([bytes = events->text.size()](DirectFlow& flow) {
+        return flow.OnDelivered(bytes, kernel::Clock::now());
+      });
+    }
     if (!is_connected) {
       runner.UpdateFlow([](DirectFlow& flow) {
         return flow.OnCallerDisconnected(kernel::Clock::now());
--- a/src/direct/internal/stream_progress.cc
+++ b/src/direct/internal/stream_progress.cc
@@ -33,6 +33,8 @@
   return pause;
 }
 
+void StreamProgress::OnResumed(kernel::TimePoint now) { this->last_at = now; }
+
 std::optional<kernel::Millis> StreamProgress::FirstEventTime(
     kernel::TimePoint arrived_at) const {
   if (!this->first_at) return std::nullopt;
--- a/src/direct/internal/stream_progress.h
+++ b/src/direct/internal/stream_progress.h
@@ -26,6 +26,10 @@
   /// @return the pause since the last events, or nothing for the first ones.
   std::optional<kernel::Millis> OnEvents(kernel::TimePoint now);
 
+  /// Records that the endpoint, which was kept from sending, may send again.
+  /// The time before counts as no pause.
+  void OnResumed(kernel::TimePoint now);
+
   /// Returns the time from `arrived_at` to the first event, or nothing before
   /// it.
   /// @param arrived_at time at which the request arrived.
