Leave a silent endpoint only when another one can take the stream

What callers saw: a stream whose server is silent for a while, as when it pauses 2 s, was cut off, although that server was sound and would have gone on.

Cause: after 1.6 s of silence, while other endpoints send events, the flow cancelled the attempt and only then looked for another endpoint. When none had room, the stream waited for 1.5 s and was cut off. When the other one refused the rest, the attempts of the profile (2) were used up, and it was cut off too.

The fix: a place at another endpoint is reserved before the attempt is cancelled; without one, or while the work is quarantined, the flow goes on waiting for the silent endpoint and looks again after 300 ms. When the other endpoint refuses the rest or can't be reached, it has not run it, so that the attempt does not count, and the endpoint that was left may be chosen again. It is still one attempt at a time; each one after the first uses the allowance for retries, and no more endpoints run the request than maxAttempts says. The same holds for requests that are no streams when half of their time has passed.

--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -79,21 +79,31 @@
 }
 
 bool DirectFlow::Send(kernel::TimePoint now) {
+  const auto choice = this->Reserve(now);
+  if (!choice) return false;
+  this->Dispatch(*choice, now);
+  return true;
+}
+
+std::optional<EndpointChoice> DirectFlow::Reserve(kernel::TimePoint now) {
   const auto work = this->LimitedWork(now);
   const bool is_permitted =
       !work || (this->context.pool.HasCapacity(this->request.service, now) &&
                 this->context.rate_limits->MaySend(*work, now));
-  if (!is_permitted) return false;
-  const auto choice = this->context.pool.Choose(this->request.service,
-                                                this->tried_endpoints, now);
-  if (!choice) return false;
-  if (work) this->context.rate_limits->OnSent(*work, now);
+  if (!is_permitted) return std::nullopt;
+  auto choice = this->context.pool.Choose(this->request.service,
+                                          this->tried_endpoints, now);
+  if (choice && work) this->context.rate_limits->OnSent(*work, now);
+  return choice;
+}
+
+void DirectFlow::Dispatch(const EndpointChoice& choice, kernel::TimePoint now) {
   this->context.queue.OnDispatched(this->request.service, now);
   this->endpoint = choice;
-  this->last_endpoint = choice->id;
+  this->last_endpoint = choice.id;
   if (this->attempt == 0)
     this->waited_ms = kernel::MillisBetween(this->arrived_at, now);
-  this->tried_endpoints.insert(choice->id);
+  this->tried_endpoints.insert(choice.id);
   ++this->attempt;
   ++this->sent_attempts;
   this->state = State::kSent;
@@ -115,8 +125,8 @@
     this->attempt_deadline = now + *time_left / 2;
   CallEndpoint call;
   call.attempt = this->attempt;
-  call.endpoint = *choice;
-  call.parameters.endpoint_id = choice->id;
+  call.endpoint = choice;
+  call.parameters.endpoint_id = choice.id;
   call.parameters.organisation = this->request.organisation;
   if (time_left) call.parameters.deadline_ms = time_left->count();
   call.parameters.urgency = this->request.urgency;
@@ -125,7 +135,6 @@
   call.connect_timeout =
       std::min(connect_timeout, time_left.value_or(connect_timeout));
   this->actions.push_back(std::move(call));
-  return true;
 }
 
 void DirectFlow::WaitForCapacity(kernel::TimePoint now) {
@@ -214,6 +223,7 @@
   this->Release(AttemptResult::kUnreachable);
   --this->sent_attempts;
   ++this->connect_failures;
+  this->ReturnToSilentEndpoint();
   const bool should_fail =
       this->connect_failures > this->context.limits.max_connect_failures ||
       !this->HasTimeForRetry(now);
@@ -227,6 +237,10 @@
 
 void DirectFlow::OnRefused(kernel::TimePoint now) {
   ++this->refusals;
+  // The refused attempt has not run, and the endpoint that began the stream may
+  // only have been silent for a while.
+  if (this->attempt_resumes && this->ReturnToSilentEndpoint())
+    --this->sent_attempts;
   if (this->refusals <= this->context.limits.max_refusals &&
       this->TryAcquireRetry(now)) {
     this->SendOrWait(now);
@@ -246,11 +260,15 @@
   this->FailRequest("answer_lost", this->context.limits.retry_after);
 }
 
-bool DirectFlow::TryAcquireRetry(kernel::TimePoint now) {
+bool DirectFlow::CanRetry(kernel::TimePoint now) const {
   const bool can_resume = !this->head_sent || this->last_delivered_has_id;
+  return can_resume && this->sent_attempts < this->request.profile->attempts &&
+         this->HasTimeForRetry(now);
+}
+
+bool DirectFlow::TryAcquireRetry(kernel::TimePoint now) {
   const bool allowed =
-      can_resume && this->sent_attempts < this->request.profile->attempts &&
-      this->HasTimeForRetry(now) &&
+      this->CanRetry(now) &&
       this->context.retries.TryAcquire(this->request.service,
                                        this->context.gateway_count, now);
   if (!allowed) return false;
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -128,6 +128,11 @@
   /// Begins an attempt at an endpoint that has capacity.
   /// @return false if there is none, or no permit for doubtful work.
   bool Send(kernel::TimePoint now);
+  /// Chooses an endpoint that has capacity for an attempt, and counts the
+  /// attempt there.
+  std::optional<EndpointChoice> Reserve(kernel::TimePoint now);
+  /// Begins an attempt at an endpoint that Reserve has chosen.
+  void Dispatch(const EndpointChoice& choice, kernel::TimePoint now);
   /// Enqueues the request, or fails it if a wait would be too long or futile.
   void WaitForCapacity(kernel::TimePoint now);
   /// Returns the expected wait in the queue, or nothing if it is not known.
@@ -173,6 +178,14 @@
   /// Returns whether endpoints respond quickly enough for a retry of a silent
   /// stream to be useful.
   bool IsRetryUseful() const;
+  /// Sends the request to another endpoint that has capacity. If there is none,
+  /// it goes on waiting for the current one.
+  void LeaveSilentEndpoint(kernel::TimePoint now);
+  /// Allows the endpoint that was left for its silence to be chosen again.
+  /// @return whether there is one.
+  bool ReturnToSilentEndpoint();
+  /// Returns whether another attempt is possible, whatever the retry allowance.
+  bool CanRetry(kernel::TimePoint now) const;
   bool TryAcquireRetry(kernel::TimePoint now);
 
   void CancelAttempt(AttemptResult result);
@@ -226,6 +239,9 @@
   /// The request shows whether its work is sound after a quarantine.
   bool is_probe = false;
   std::set<std::string> tried_endpoints;
+  /// Id of the endpoint that was left for its silence, until it may be chosen
+  /// again.
+  std::optional<std::string> silent_endpoint;
   /// Number of attempts that an endpoint may have received.
   std::int64_t sent_attempts = 0;
   int refusals = 0;
--- a/src/direct/internal/direct_flow_timing.cc
+++ b/src/direct/internal/direct_flow_timing.cc
@@ -54,16 +54,40 @@
     this->attempt_deadline = now + this->context.limits.stall_check_interval;
     return this->TakeActions();
   }
+  this->LeaveSilentEndpoint(now);
+  return this->TakeActions();
+}
+
+void DirectFlow::LeaveSilentEndpoint(kernel::TimePoint now) {
   // When no retry is possible, the endpoint's silence is no reason to end the
   // response.
+  this->attempt_deadline = this->deadline;
+  if (!this->CanRetry(now)) return;
+  const bool is_quarantined =
+      this->context.attribution.QuarantinedUntil(this->request.work_keys, now)
+          .has_value();
+  const auto next = is_quarantined ? std::nullopt : this->Reserve(now);
+  if (!next) {
+    this->attempt_deadline = now + this->context.limits.stall_check_interval;
+    return;
+  }
   if (!this->TryAcquireRetry(now)) {
-    this->attempt_deadline = this->deadline;
-    return this->TakeActions();
+    this->actions.push_back(ReleaseEndpoint{*next, AttemptResult::kCancelled});
+    return;
   }
   this->may_have_run = true;
+  this->silent_endpoint = this->endpoint->id;
   this->CancelAttempt(AttemptResult::kBroken);
-  this->SendOrWait(now);
-  return this->TakeActions();
+  this->is_probe =
+      this->context.attribution.TryProbe(this->request.work_keys, now);
+  this->Dispatch(*next, now);
+}
+
+bool DirectFlow::ReturnToSilentEndpoint() {
+  if (!this->silent_endpoint) return false;
+  this->tried_endpoints.erase(*this->silent_endpoint);
+  this->silent_endpoint.reset();
+  return true;
 }
 
 bool DirectFlow::IsOutlier(kernel::TimePoint now) const {
