Close a connection after a response only when its caller has it

What callers saw: the end of a complete response was lost when the connection was to be closed after it (Connection: close, or a stop) and the caller sent more on it, such as its next request, before it had read all.

Cause: the connection was closed as soon as the response was in the send buffer. Input that arrives after that resets the connection, and the system discards what it has not delivered. Refusals were already protected from this.

The fix: after each complete response, as after a refusal, sending is shut down and input is discarded until the caller closes, or takes nothing for 2 s. After a response that was cut off the connection is closed at once, as before.

--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -9,11 +9,14 @@
 #include "http/internal/http_exchange.h"
 #include "http/internal/http_server.h"
 #include "http/internal/request_framing.h"
+#include "http/internal/write_deadline.h"
 
 namespace banyanlane::http {
 namespace {
 
 constexpr std::size_t kDiscardBufferBytes = std::size_t{4} * 1024;
+/// Longest time for which the caller takes nothing while its input is
+/// discarded.
 constexpr kernel::Millis kMaxDiscardTime{2'000};
 /// Minimum amount of memory that is reserved at a time for a body of unknown
 /// length.
@@ -144,11 +147,12 @@
 }
 
 void CallerConnection::ServeRequests(asio::yield_context yield) {
-  bool keep_open = true;
+  auto next = NextStep::kAwaitRequest;
   do {
-    keep_open = this->ServeRequest(yield);
-  } while (keep_open && this->buffer.size() > 0);
-  if (!keep_open) {
+    next = this->ServeRequest(yield);
+  } while (next == NextStep::kAwaitRequest && this->buffer.size() > 0);
+  if (next == NextStep::kFinish) return this->DiscardInput(yield);
+  if (next == NextStep::kClose) {
     beast::error_code ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     return;
@@ -160,11 +164,14 @@
 void CallerConnection::DiscardInput(asio::yield_context yield) {
   beast::error_code failure;
   this->stream.socket().shutdown(tcp::socket::shutdown_send, failure);
-  this->stream.expires_after(kMaxDiscardTime);
+  const auto deadline = std::make_shared<WriteDeadline>(
+      this->stream, this->strand, kMaxDiscardTime);
+  deadline->Begin(kernel::Clock::now());
   std::array<char, kDiscardBufferBytes> discarded;  // NOLINT: never read.
   while (!failure) {
     this->stream.async_read_some(asio::buffer(discarded), yield[failure]);
   }
+  deadline->End();
 }
 
 std::optional<BodyBudget::Allocation> CallerConnection::ReserveBodyMemory(
@@ -252,11 +259,10 @@
   return request;
 }
 
-void CallerConnection::SendRefusal(const Refusal& refusal,
-                                   const HttpRequest& request,
-                                   const ServerLimits& limits,
-                                   asio::yield_context yield) {
-  if (refusal.status == 0) return;
+CallerConnection::NextStep CallerConnection::SendRefusal(
+    const Refusal& refusal, const HttpRequest& request,
+    const ServerLimits& limits, asio::yield_context yield) {
+  if (refusal.status == 0) return NextStep::kClose;
   const HttpResponse response =
       refusal.is_overload
           ? this->server->handler().RefuseOverload(request, refusal.reason)
@@ -268,10 +274,11 @@
                           std::move(refused), limits, false);
     exchange.Reply(response);
   }
-  this->DiscardInput(yield);
+  return NextStep::kFinish;
 }
 
-bool CallerConnection::ServeRequest(asio::yield_context yield) {
+CallerConnection::NextStep CallerConnection::ServeRequest(
+    asio::yield_context yield) {
   const ServerLimits limits = this->server->CurrentLimits();
   RequestParser parser;
   BodyBudget::Allocation allocation;
@@ -281,15 +288,15 @@
   const bool is_origin_form =
       !request.target.empty() && request.target[0] == '/';
   if (!refusal && !is_origin_form) refusal = Refusal{400, "target"};
-  if (refusal) {
-    this->SendRefusal(*refusal, request, limits, yield);
-    return false;
-  }
+  if (refusal) return this->SendRefusal(*refusal, request, limits, yield);
   HttpExchange exchange(this->stream, this->buffer, this->strand, yield,
                         std::move(request), limits, parser.get().keep_alive());
   this->server->Handle(exchange);
   this->stream.expires_never();
-  return exchange.CanContinue() && this->server->IsAccepting();
+  if (!exchange.IsComplete()) return NextStep::kClose;
+  return exchange.CanContinue() && this->server->IsAccepting()
+             ? NextStep::kAwaitRequest
+             : NextStep::kFinish;
 }
 
 }  // namespace banyanlane::http
--- a/src/http/internal/caller_connection.h
+++ b/src/http/internal/caller_connection.h
@@ -40,6 +40,13 @@
     bool is_overload = false;
   };
 
+  /// What follows a request.
+  enum class NextStep {
+    kAwaitRequest,
+    kFinish,  ///< The connection ends after a complete response.
+    kClose,   ///< The connection ends without one.
+  };
+
   void AwaitRequest();
   void OnReadable(const beast::error_code& failure);
   /// Serves the request that has begun to arrive and the requests that were
@@ -47,8 +54,7 @@
   /// the connection.
   void ServeRequests(asio::yield_context yield);
   /// Serves one request.
-  /// @return whether the connection stays open.
-  bool ServeRequest(asio::yield_context yield);
+  NextStep ServeRequest(asio::yield_context yield);
   /// Reads one request.
   /// @return the reason for refusing it, or nullopt if it was read completely.
   std::optional<Refusal> ReadRequest(RequestParser& parser,
@@ -67,11 +73,11 @@
   /// become available in time.
   std::optional<BodyBudget::Allocation> ReserveBodyMemory(
       std::uint64_t bytes, kernel::TimePoint until, asio::yield_context yield);
-  void SendRefusal(const Refusal& refusal, const HttpRequest& request,
-                   const ServerLimits& limits, asio::yield_context yield);
-  /// Shuts down sending, then reads and discards input for a limited time or
-  /// until the caller closes the connection. Closing the socket with unread
-  /// input would reset the connection, and the caller could lose the refusal.
+  NextStep SendRefusal(const Refusal& refusal, const HttpRequest& request,
+                       const ServerLimits& limits, asio::yield_context yield);
+  /// Shuts down sending, then reads and discards input until the caller closes
+  /// the connection or takes nothing for a time. Closing the socket with unread
+  /// input would reset the connection, and the caller could lose the response.
   void DiscardInput(asio::yield_context yield);
   HttpRequest ExtractRequest(RequestParser& parser);
 
--- a/src/http/internal/http_exchange.h
+++ b/src/http/internal/http_exchange.h
@@ -65,10 +65,10 @@
   void EndStream() override;
   void Abort() override;
 
+  /// Returns whether a complete response has been sent.
+  bool IsComplete() const { return this->ended && !this->failed; }
   /// Returns whether the connection can serve another request.
-  bool CanContinue() const {
-    return this->keep_alive && this->ended && !this->failed;
-  }
+  bool CanContinue() const { return this->keep_alive && this->IsComplete(); }
 
  private:
   void SetFields(beast::http::fields& fields, const Headers& headers) const;
--- a/src/http/tests/slow_caller_test.cc
+++ b/src/http/tests/slow_caller_test.cc
@@ -21,16 +21,18 @@
 constexpr int kReceiveBytes = 64 * 1024;
 /// Far more than the buffers of a connection and what a slow caller reads.
 constexpr std::size_t kBodyBytes = std::size_t{48} * 1024 * 1024;
+/// More than the receive buffer holds, and less than the send buffer.
+constexpr std::size_t kBufferedBytes = std::size_t{512} * 1024;
 constexpr std::string_view kEndMark = "END";
 
-/// Responds with kBodyBytes bytes, in one piece or in chunks.
+/// Responds with body_bytes bytes, in one piece or in chunks.
 class LargeHandler : public IHttpHandler {
  public:
   void Handle(IHttpExchange& exchange) override {
     const bool is_stream = exchange.request().Path() == "/stream";
     HttpResponse response;
-    response.body =
-        std::string(kBodyBytes - kEndMark.size(), 'x') + std::string(kEndMark);
+    response.body = std::string(this->body_bytes - kEndMark.size(), 'x') +
+                    std::string(kEndMark);
     if (is_stream) {
       exchange.BeginStream(response.status, {});
       exchange.WriteChunk(response.body);
@@ -41,6 +43,7 @@
     ++this->ended;
   }
 
+  std::size_t body_bytes = kBodyBytes;
   std::atomic<int> ended{0};  ///< Requests whose handling has ended.
 };
 
@@ -64,6 +67,13 @@
     return caller;
   }
 
+  bool WaitUntilEnded(int count) const {
+    const auto until = kernel::Clock::now() + std::chrono::seconds(30);
+    while (this->handler->ended < count && kernel::Clock::now() < until)
+      poll(nullptr, 0, kReadIntervalMillis);
+    return this->handler->ended == count;
+  }
+
   std::shared_ptr<LargeHandler> handler = std::make_shared<LargeHandler>();
   std::shared_ptr<IHttpRuntime> runtime;
   std::shared_ptr<IHttpServer> server;
@@ -94,15 +104,27 @@
   }
 }
 
+// Guards against the end of a response that is discarded because its caller
+// sends more on a connection that the server closes.
+Test(slow_caller, receives_a_whole_response_when_it_sends_more) {
+  for (const char* const target : {"/complete", "/stream"}) {
+    const LargeServer server;
+    server.handler->body_bytes = kBufferedBytes;
+    const RawCaller caller = server.Request(target);
+    cr_assert(server.WaitUntilEnded(1));
+    caller.Write("GET /more HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string rest = caller.ReadToEnd();
+    cr_expect_neq(rest.find(kEndMark), std::string::npos, "%s", target);
+    cr_expect_eq(server.handler->ended, 1);
+  }
+}
+
 // Guards against memory that callers hold who take nothing any more.
 Test(slow_caller, is_cut_off_when_it_takes_nothing) {
   const LargeServer server;
   const RawCaller complete = server.Request("/complete");
   const RawCaller stream = server.Request("/stream");
-  const auto until = kernel::Clock::now() + std::chrono::seconds(30);
-  while (server.handler->ended < 2 && kernel::Clock::now() < until)
-    poll(nullptr, 0, kReadIntervalMillis);
-  cr_expect_eq(server.handler->ended, 2);
+  cr_expect(server.WaitUntilEnded(2));
   for (const RawCaller* const caller : {&complete, &stream}) {
     const std::string text = caller->ReadToEnd();
     cr_expect_lt(text.size(), kBodyBytes);
