--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -24,16 +24,13 @@
 
 DirectActions DirectFlow::Start(kernel::TimePoint now) {
   this->arrived_at = now;
-  this->deadline = now + this->request.TimeLimit();
+  if (const auto limit = this->request.TimeLimit())
+    this->deadline = now + *limit;
   this->context.retries.OnRequest(this->request.service, now);
   this->SendOrWait(now);
   return this->TakeActions();
 }
 
-std::int64_t DirectFlow::MillisLeft(kernel::TimePoint now) const {
-  return kernel::MillisBetween(now, this->deadline);
-}
-
 bool DirectFlow::IsCurrent(std::uint64_t number) const {
   return number == this->attempt && this->endpoint &&
          this->state != State::kDone;
@@ -82,21 +79,31 @@
 }
 
 bool DirectFlow::Send(kernel::TimePoint now) {
+  const auto choice = this->Reserve(now);
+  if (!choice) return false;
+  this->Dispatch(*choice, now);
+  return true;
+}
+
+std::optional<EndpointChoice> DirectFlow::Reserve(kernel::TimePoint now) {
   const auto work = this->LimitedWork(now);
   const bool is_permitted =
       !work || (this->context.pool.HasCapacity(this->request.service, now) &&
                 this->context.rate_limits->MaySend(*work, now));
-  if (!is_permitted) return false;
-  const auto choice = this->context.pool.Choose(this->request.service,
-                                                this->tried_endpoints, now);
-  if (!choice) return false;
-  if (work) this->context.rate_limits->OnSent(*work, now);
+  if (!is_permitted) return std::nullopt;
+  auto choice = this->context.pool.Choose(this->request.service,
+                                          this->tried_endpoints, now);
+  if (choice && work) this->context.rate_limits->OnSent(*work, now);
+  return choice;
+}
+
+void DirectFlow::Dispatch(const EndpointChoice& choice, kernel::TimePoint now) {
   this->context.queue.OnDispatched(this->request.service, now);
   this->endpoint = choice;
-  this->last_endpoint = choice->id;
+  this->last_endpoint = choice.id;
   if (this->attempt == 0)
     this->waited_ms = kernel::MillisBetween(this->arrived_at, now);
-  this->tried_endpoints.insert(choice->id);
+  this->tried_endpoints.insert(choice.id);
   ++this->attempt;
   ++this->sent_attempts;
   this->state = State::kSent;
@@ -104,29 +111,30 @@
   this->attempt_has_events = false;
   this->attempt_survived = false;
   this->attempt_resumes = this->head_sent;
+  this->is_held_back = false;
   this->head = ResponseHead{};
   this->body.clear();
   this->splitter = EventSplitter{};
-  const std::int64_t time_left_ms = this->MillisLeft(now);
+  const auto time_left = this->TimeLeft(now);
   const bool can_retry = this->request.IsRepeatable() &&
                          this->sent_attempts < this->request.profile->attempts;
   this->attempt_deadline = this->deadline;
   if (can_retry && this->request.profile->streaming)
     this->attempt_deadline = now + this->context.limits.stream_stall_timeout;
-  if (can_retry && !this->request.profile->streaming)
-    this->attempt_deadline = now + kernel::Millis(time_left_ms / 2);
+  if (can_retry && !this->request.profile->streaming && time_left)
+    this->attempt_deadline = now + *time_left / 2;
   CallEndpoint call;
   call.attempt = this->attempt;
-  call.endpoint = *choice;
-  call.parameters.endpoint_id = choice->id;
+  call.endpoint = choice;
+  call.parameters.endpoint_id = choice.id;
   call.parameters.organisation = this->request.organisation;
-  call.parameters.deadline_ms = time_left_ms;
+  if (time_left) call.parameters.deadline_ms = time_left->count();
   call.parameters.urgency = this->request.urgency;
   call.parameters.last_event_id = this->last_delivered_id;
-  call.connect_timeout = std::min(this->context.limits.connect_timeout,
-                                  kernel::Millis(time_left_ms));
+  const kernel::Millis connect_timeout = this->context.limits.connect_timeout;
+  call.connect_timeout =
+      std::min(connect_timeout, time_left.value_or(connect_timeout));
   this->actions.push_back(std::move(call));
-  return true;
 }
 
 void DirectFlow::WaitForCapacity(kernel::TimePoint now) {
@@ -180,22 +188,6 @@
       static_cast<double>(requests) / own_rate * kMillisPerSecond));
 }
 
-kernel::Millis DirectFlow::MaxWait(kernel::TimePoint now) const {
-  const DirectLimits& limits = this->context.limits;
-  const auto max_wait = kernel::Millis(static_cast<std::int64_t>(
-      static_cast<double>(this->MillisLeft(now)) * limits.max_wait_fraction));
-  return this->request.profile->streaming
-             ? std::min(max_wait, limits.max_stream_wait)
-             : max_wait;
-}
-
-kernel::TimePoint DirectFlow::DispatchBy() const {
-  const auto wait = static_cast<std::int64_t>(
-      static_cast<double>(this->request.profile->latency_goal_ms) *
-      this->context.limits.on_time_wait_fraction);
-  return this->arrived_at + kernel::Millis(wait);
-}
-
 void DirectFlow::LeaveQueue(kernel::TimePoint /*now*/) {
   this->context.queue.Remove(this->request.service, this->request.urgency,
                              this->ticket);
@@ -231,9 +223,10 @@
   this->Release(AttemptResult::kUnreachable);
   --this->sent_attempts;
   ++this->connect_failures;
+  this->ReturnToSilentEndpoint();
   const bool should_fail =
       this->connect_failures > this->context.limits.max_connect_failures ||
-      this->MillisLeft(now) < this->context.limits.min_time_left.count();
+      !this->HasTimeForRetry(now);
   if (should_fail) {
     this->FailRequest("unreachable", this->RetryAfter(now));
   } else {
@@ -244,6 +237,10 @@
 
 void DirectFlow::OnRefused(kernel::TimePoint now) {
   ++this->refusals;
+  // The refused attempt has not run, and the endpoint that began the stream may
+  // only have been silent for a while.
+  if (this->attempt_resumes && this->ReturnToSilentEndpoint())
+    --this->sent_attempts;
   if (this->refusals <= this->context.limits.max_refusals &&
       this->TryAcquireRetry(now)) {
     this->SendOrWait(now);
@@ -263,11 +260,15 @@
   this->FailRequest("answer_lost", this->context.limits.retry_after);
 }
 
-bool DirectFlow::TryAcquireRetry(kernel::TimePoint now) {
+bool DirectFlow::CanRetry(kernel::TimePoint now) const {
   const bool can_resume = !this->head_sent || this->last_delivered_has_id;
+  return can_resume && this->sent_attempts < this->request.profile->attempts &&
+         this->HasTimeForRetry(now);
+}
+
+bool DirectFlow::TryAcquireRetry(kernel::TimePoint now) {
   const bool allowed =
-      can_resume && this->sent_attempts < this->request.profile->attempts &&
-      this->MillisLeft(now) >= this->context.limits.min_time_left.count() &&
+      this->CanRetry(now) &&
       this->context.retries.TryAcquire(this->request.service,
                                        this->context.gateway_count, now);
   if (!allowed) return false;
@@ -280,55 +281,6 @@
   return true;
 }
 
-DirectActions DirectFlow::OnTimer(kernel::TimePoint now) {
-  if (this->state == State::kDone) return {};
-  if (this->state == State::kQueued) {
-    if (now < this->wait_deadline && now < this->deadline) return {};
-    this->LeaveQueue(now);
-    this->FailRequest("no_room", this->RetryAfter(now), this->RestLeft(now));
-    return this->TakeActions();
-  }
-  if (now >= this->deadline) {
-    this->may_have_run = true;
-    this->CancelAttempt(AttemptResult::kCancelled);
-    this->FailRequest("timeout", this->context.limits.retry_after);
-    return this->TakeActions();
-  }
-  if (now < this->attempt_deadline) return {};
-  if (!this->IsOutlier(now) || !this->IsRetryUseful()) {
-    // A retry at another endpoint would gain nothing: all are silent, as when
-    // the ranks of a group wait for one another, or all are busy.
-    this->attempt_deadline = now + this->context.limits.stall_check_interval;
-    return this->TakeActions();
-  }
-  // When no retry is possible, the endpoint's silence is no reason to end the
-  // response.
-  if (!this->TryAcquireRetry(now)) {
-    this->attempt_deadline = this->deadline;
-    return this->TakeActions();
-  }
-  this->may_have_run = true;
-  this->CancelAttempt(AttemptResult::kBroken);
-  this->SendOrWait(now);
-  return this->TakeActions();
-}
-
-bool DirectFlow::IsOutlier(kernel::TimePoint now) const {
-  if (!this->request.profile->streaming || !this->endpoint) return true;
-  return this->context.pool.HasAnotherProgressed(
-      *this->endpoint, now - this->context.limits.progress_window);
-}
-
-bool DirectFlow::IsRetryUseful() const {
-  if (!this->request.profile->streaming || this->attempt_has_events)
-    return true;
-  const auto limit = static_cast<std::int64_t>(
-      static_cast<double>(this->context.limits.stream_stall_timeout.count()) *
-      this->context.limits.retry_first_event_fraction);
-  return this->context.pool.MeanFirstEventTime(this->request.service).count() <
-         limit;
-}
-
 DirectActions DirectFlow::OnCallerDisconnected(kernel::TimePoint now) {
   if (this->state == State::kDone) return {};
   if (this->state == State::kQueued) this->LeaveQueue(now);
@@ -337,13 +289,6 @@
   return this->TakeActions();
 }
 
-kernel::TimePoint DirectFlow::NextTimer() const {
-  if (this->state == State::kDone) return kernel::TimePoint::max();
-  if (this->state == State::kQueued)
-    return std::min(this->wait_deadline, this->deadline);
-  return std::min(this->attempt_deadline, this->deadline);
-}
-
 void DirectFlow::CancelAttempt(AttemptResult result) {
   if (!this->endpoint) return;
   this->actions.push_back(CancelCall{this->attempt});
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -40,8 +40,8 @@
   kernel::Millis progress_window{500};
   /// Longest wait for capacity, as a fraction of the time left to the deadline.
   double max_wait_fraction = 0.25;
-  /// Longest wait of a stream for capacity. Callers of streams disconnect when
-  /// nothing arrives.
+  /// Longest wait for capacity of a stream, whose caller disconnects when
+  /// nothing arrives, and of a request without a time limit.
   kernel::Millis max_stream_wait{1'500};
   /// A request that waits for less than this fraction of its profile's latency
   /// goal can still be answered on time.
@@ -65,6 +65,9 @@
   /// Size in bytes of the largest event of a stream. An endpoint whose event is
   /// larger sends no valid stream.
   std::size_t max_event_bytes = std::size_t{256} * 1024;
+  /// Size in bytes of the events that wait for a slow caller. Beyond it nothing
+  /// more is read from the endpoint.
+  std::size_t max_undelivered_bytes = std::size_t{256} * 1024;
 };
 
 /// Objects of the gateway that a flow uses. All of them outlive the flow.
@@ -100,6 +103,8 @@
   /// Sends the request if it is queued and an endpoint has capacity.
   DirectActions OnCapacity(kernel::TimePoint now);
   DirectActions OnTimer(kernel::TimePoint now);
+  /// Records that the caller has taken `bytes` of the events.
+  DirectActions OnDelivered(std::size_t bytes, kernel::TimePoint now);
   DirectActions OnCallerDisconnected(kernel::TimePoint now);
 
   /// Returns when OnTimer is due.
@@ -123,6 +128,11 @@
   /// Begins an attempt at an endpoint that has capacity.
   /// @return false if there is none, or no permit for doubtful work.
   bool Send(kernel::TimePoint now);
+  /// Chooses an endpoint that has capacity for an attempt, and counts the
+  /// attempt there.
+  std::optional<EndpointChoice> Reserve(kernel::TimePoint now);
+  /// Begins an attempt at an endpoint that Reserve has chosen.
+  void Dispatch(const EndpointChoice& choice, kernel::TimePoint now);
   /// Enqueues the request, or fails it if a wait would be too long or futile.
   void WaitForCapacity(kernel::TimePoint now);
   /// Returns the expected wait in the queue, or nothing if it is not known.
@@ -160,12 +170,22 @@
   /// Retries or fails the request after an attempt that may have run but gave
   /// no usable, complete response.
   void OnResponseLost(AttemptResult result, kernel::TimePoint now);
+  /// Stops reading from the endpoint if the caller takes events too slowly.
+  void HoldBackEndpoint();
   /// Returns whether other endpoints respond while this one is silent. For a
   /// request that is not a stream it returns true.
   bool IsOutlier(kernel::TimePoint now) const;
   /// Returns whether endpoints respond quickly enough for a retry of a silent
   /// stream to be useful.
   bool IsRetryUseful() const;
+  /// Sends the request to another endpoint that has capacity. If there is none,
+  /// it goes on waiting for the current one.
+  void LeaveSilentEndpoint(kernel::TimePoint now);
+  /// Allows the endpoint that was left for its silence to be chosen again.
+  /// @return whether there is one.
+  bool ReturnToSilentEndpoint();
+  /// Returns whether another attempt is possible, whatever the retry allowance.
+  bool CanRetry(kernel::TimePoint now) const;
   bool TryAcquireRetry(kernel::TimePoint now);
 
   void CancelAttempt(AttemptResult result);
@@ -187,7 +207,10 @@
   /// Adds to the fields of request_ended how the stream met its goals.
   void AddProgress(kernel::EventFields& fields) const;
   std::int64_t Jittered(kernel::Millis span);
-  std::int64_t MillisLeft(kernel::TimePoint now) const;
+  /// Returns the time left to the deadline, or nothing without a deadline.
+  std::optional<kernel::Millis> TimeLeft(kernel::TimePoint now) const;
+  /// Returns whether enough time is left for a retry.
+  bool HasTimeForRetry(kernel::TimePoint now) const;
   bool IsCurrent(std::uint64_t number) const;
   DirectActions TakeActions();
 
@@ -197,7 +220,8 @@
   std::minstd_rand random;
   State state = State::kIdle;
   kernel::TimePoint arrived_at;
-  kernel::TimePoint deadline;  ///< Deadline of the caller or the profile.
+  /// Deadline of the caller or the profile; the end of all time without one.
+  kernel::TimePoint deadline = kernel::TimePoint::max();
   kernel::TimePoint wait_deadline;
   kernel::TimePoint attempt_deadline;
   std::uint64_t ticket = 0;  ///< Ticket in the request queue.
@@ -215,6 +239,9 @@
   /// The request shows whether its work is sound after a quarantine.
   bool is_probe = false;
   std::set<std::string> tried_endpoints;
+  /// Id of the endpoint that was left for its silence, until it may be chosen
+  /// again.
+  std::optional<std::string> silent_endpoint;
   /// Number of attempts that an endpoint may have received.
   std::int64_t sent_attempts = 0;
   int refusals = 0;
@@ -235,6 +262,9 @@
   /// The last event that the caller has received names its place in the stream,
   /// so that another endpoint can go on after it.
   bool last_delivered_has_id = false;
+  std::size_t undelivered_bytes = 0;  ///< Events that the caller has not taken.
+  /// Nothing is read from the endpoint until the caller has taken more.
+  bool is_held_back = false;
   StreamProgress progress;
   DirectActions actions;
 };
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -79,6 +79,8 @@
     const bool is_for_endpoint =
         std::holds_alternative<CallEndpoint>(action) ||
         std::holds_alternative<CancelCall>(action) ||
+        std::holds_alternative<PauseCall>(action) ||
+        std::holds_alternative<ResumeCall>(action) ||
         std::holds_alternative<ReleaseEndpoint>(action) ||
         std::holds_alternative<ReportLostConnection>(action) ||
         std::holds_alternative<ReportBegun>(action) ||
@@ -135,7 +137,9 @@
   message.headers = this->environment.protocol->WriteAttemptHeaders(
       direct_request.message, action.parameters);
   const kernel::Millis call_timeout =
-      kernel::Millis(action.parameters.deadline_ms) + kCallTimeoutMargin;
+      kernel::Millis(
+          action.parameters.deadline_ms.value_or(kMaxTimeLimit.count())) +
+      kCallTimeoutMargin;
   http::CallLimits limits;
   limits.connect_timeout = action.connect_timeout;
   limits.head_timeout = call_timeout;
@@ -153,6 +157,14 @@
   if (this->call && this->call_attempt == action.attempt) this->call->Abort();
 }
 
+void DirectRunner::RunAction(const PauseCall& action) {
+  if (this->call && this->call_attempt == action.attempt) this->call->Pause();
+}
+
+void DirectRunner::RunAction(const ResumeCall& action) {
+  if (this->call && this->call_attempt == action.attempt) this->call->Resume();
+}
+
 void DirectRunner::RunAction(const ReleaseEndpoint& action) {
   this->environment.pool->Release(action.endpoint, action.result,
                                   kernel::Clock::now());
