Count the time of a stop from when its signal was sent

What callers saw: a gateway that was frozen when SIGTERM was sent took requests after the freeze, passed them on, and was killed at the end of the grace period before it could answer them.

Cause: the platform counts the grace period from the sending of SIGTERM. GracefulStop counted it from its own handling of the signal, on a clock that also leaves out the time for which a machine is suspended. After a freeze of 3 s the gateway believed that it had 3 s more than it had.

Why this works: the main thread checks every 250 ms that no signal to stop is pending, also while it handles reloads. A stop counts from the last such time on kernel::BootNow, so it is at most 250 ms too short and never too long. Callers still have three times the address time from when the gateway handles the signal, as they can't learn of the stop before.

A suspended machine is covered by the unit tests' times alone; no test suspends a machine.

--- a/src/agent/agent_module.cc
+++ b/src/agent/agent_module.cc
@@ -85,7 +85,7 @@
                      {{"listen", this->listen}});
   }
 
-  void Drain() override {
+  void Drain(kernel::TimePoint /*requested_at*/) override {
     this->draining_since = kernel::Clock::now();
     this->service->OnLeaving("stop requested", kernel::Clock::now());
   }
--- a/src/app/process_signals.cc
+++ b/src/app/process_signals.cc
@@ -25,4 +25,11 @@
   return received > 0 ? std::optional(received) : std::nullopt;
 }
 
+bool ProcessSignals::IsStopPending() const {
+  sigset_t pending{};
+  sigpending(&pending);
+  return sigismember(&pending, SIGTERM) == 1 ||
+         sigismember(&pending, SIGINT) == 1;
+}
+
 }  // namespace banyanlane::app
--- a/src/app/process_signals.h
+++ b/src/app/process_signals.h
@@ -21,6 +21,10 @@
   /// @return the signal, or nothing if none arrived within `timeout`.
   std::optional<int> Wait(kernel::Millis timeout) const;
 
+  /// Returns whether SIGTERM or SIGINT has arrived and was not returned by Wait
+  /// yet.
+  bool IsStopPending() const;
+
  private:
   sigset_t signals{};
 };
--- a/src/app/role_process.cc
+++ b/src/app/role_process.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 
+#include "kernel/boot_clock.h"
 #include "kernel/event_log.h"
 
 namespace banyanlane::app {
@@ -11,6 +12,9 @@
 
 /// Interval of the checks whether any module still has pending work.
 constexpr kernel::Millis kDrainCheckInterval{50};
+/// Interval of the checks whether a signal to stop has arrived. If the process
+/// is frozen when one is sent, the time of sending is known to within this.
+constexpr kernel::Millis kSignalCheckInterval{250};
 /// Interval of the checks whether the settings file has changed, since it can
 /// change without a signal.
 constexpr kernel::Millis kSettingsCheckInterval{2'000};
@@ -35,13 +39,14 @@
 }
 
 int RoleProcess::Run(const ProcessSignals& signals) {
+  const auto started = kernel::BootNow();
   kernel::LogEvent(EventId::kProcessStarted,
                    {{"node", this->context.settings().Text("node", "id")}});
   for (const auto& module : this->modules) module->Start();
-  const int received = this->WaitForStop(signals);
+  const StopRequest stop = this->WaitForStop(signals, started);
   kernel::LogEvent(EventId::kStopRequested,
-                   {{"signal", std::to_string(received)}});
-  for (const auto& module : this->modules) module->Drain();
+                   {{"signal", std::to_string(stop.signal)}});
+  for (const auto& module : this->modules) module->Drain(stop.not_before);
   this->WaitForDrain(signals);
   for (auto it = this->modules.rbegin(); it != this->modules.rend(); ++it)
     (*it)->Stop();
@@ -49,12 +54,19 @@
   return 0;
 }
 
-int RoleProcess::WaitForStop(const ProcessSignals& signals) {
+RoleProcess::StopRequest RoleProcess::WaitForStop(const ProcessSignals& signals,
+                                                  kernel::TimePoint now) {
+  auto next_settings_check = now + kSettingsCheckInterval;
+  auto not_before = now;
   while (true) {
-    const auto received = signals.Wait(kSettingsCheckInterval);
+    const auto received = signals.Wait(kSignalCheckInterval);
     const bool must_stop = received == SIGTERM || received == SIGINT;
-    if (must_stop) return *received;
+    if (must_stop) return {*received, not_before};
+    now = kernel::BootNow();
+    if (!signals.IsStopPending()) not_before = now;
+    if (!received && now < next_settings_check) continue;
     this->ReloadIfAsked(received);
+    next_settings_check = now + kSettingsCheckInterval;
   }
 }
 
--- a/src/app/role_process.h
+++ b/src/app/role_process.h
@@ -36,9 +36,16 @@
         settings_file(settings_path),
         context(std::move(settings)) {}
 
+  /// Signal to stop, and when it can have been sent.
+  struct StopRequest {
+    int signal = 0;
+    /// Latest time of kernel::BootNow at which the signal had not arrived.
+    kernel::TimePoint not_before;
+  };
+
   /// Handles reloads until SIGTERM or SIGINT is received.
-  /// @return the received signal.
-  int WaitForStop(const ProcessSignals& signals);
+  /// @param now present time of kernel::BootNow.
+  StopRequest WaitForStop(const ProcessSignals& signals, kernel::TimePoint now);
   /// Reloads the settings if `received` is SIGHUP or the file has changed.
   void ReloadIfAsked(std::optional<int> received);
   /// Reads the settings file and passes the settings to all modules. If the
--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -3,6 +3,7 @@
 
 #include "admin/i_status_board.h"
 #include "direct/internal/direct_service.h"
+#include "kernel/boot_clock.h"
 #include "kernel/event_log.h"
 #include "kernel/hash.h"
 #include "kernel/module_registry.h"
@@ -83,9 +84,11 @@
                      {{"listen", this->listen}});
   }
 
-  void Drain() override { this->service->Drain(kernel::Clock::now()); }
+  void Drain(kernel::TimePoint requested_at) override {
+    this->service->Drain(requested_at, kernel::BootNow());
+  }
   std::string Pending() override {
-    return this->service->Pending(kernel::Clock::now());
+    return this->service->Pending(kernel::BootNow());
   }
   void Stop() override { this->server->StopAccepting(); }
 
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 
+#include "kernel/boot_clock.h"
 #include "kernel/event_log.h"
 #include "kernel/hash.h"
 
@@ -180,11 +181,10 @@
 }
 
 void DirectService::Handle(http::IHttpExchange& exchange) {
-  const auto now = kernel::Clock::now();
   http::HttpRequest request = exchange.TakeRequest();
   const CallerRequestHead head = this->protocol->ReadRequest(request);
   if (this->stop.HasBegun()) exchange.CloseAfterResponse();
-  auto accepted = this->Accept(request, head, now);
+  auto accepted = this->Accept(request, head, kernel::BootNow());
   if (const auto* rejection = std::get_if<Rejection>(&accepted)) {
     this->Reject(exchange, *rejection, head.request_id);
     return;
@@ -356,9 +356,10 @@
   set("banyanlane_requests_waiting", this->queue.TotalLength());
 }
 
-void DirectService::Drain(kernel::TimePoint now) {
-  this->stop.Begin(now);
-  this->Publish(now);
+void DirectService::Drain(kernel::TimePoint requested_at,
+                          kernel::TimePoint now) {
+  this->stop.Begin(requested_at, now);
+  this->Publish(kernel::Clock::now());
 }
 
 std::string DirectService::Pending(kernel::TimePoint now) {
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -64,7 +64,12 @@
   /// Sends the queued requests of all services that have capacity.
   void SendAllQueued(kernel::TimePoint now);
 
-  void Drain(kernel::TimePoint now);
+  /// Begins a graceful stop, and tells the peers.
+  /// @param requested_at time from which the grace period is counted. Both
+  /// times are those of kernel::BootNow.
+  void Drain(kernel::TimePoint requested_at, kernel::TimePoint now);
+  /// Returns what the stop waits for, or "" when it is over.
+  /// @param now present time of kernel::BootNow.
   std::string Pending(kernel::TimePoint now);
 
   EndpointPool& endpoints() { return this->pool; }
@@ -82,6 +87,7 @@
   /// near. The stop must be told when the response to an accepted one has
   /// ended.
   /// @param request is moved from unless it is rejected.
+  /// @param now present time of kernel::BootNow.
   std::variant<DirectRequest, Rejection> Accept(http::HttpRequest& request,
                                                 const CallerRequestHead& head,
                                                 kernel::TimePoint now);
--- a/src/direct/internal/graceful_stop.cc
+++ b/src/direct/internal/graceful_stop.cc
@@ -7,7 +7,7 @@
 constexpr int kAddressTtlFactor = 3;
 /// Time between the end of the stop and the end of the grace period.
 constexpr kernel::Millis kGraceMargin{700};
-/// Time from the beginning of the stop in which callers learn of it.
+/// Time from the request to stop in which callers learn of it.
 constexpr kernel::Millis kNoticeTime{3'000};
 /// Time that a response needs to reach the caller when its request has reached
 /// its time limit.
@@ -20,21 +20,24 @@
     : duration(grace_period - kGraceMargin),
       address_use(address_ttl * kAddressTtlFactor) {}
 
-void GracefulStop::Begin(kernel::TimePoint now) {
+void GracefulStop::Begin(kernel::TimePoint requested_at,
+                         kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  if (!this->began_at) this->began_at = now;
+  if (this->requested_at) return;
+  this->requested_at = requested_at;
+  this->began_at = now;
 }
 
 bool GracefulStop::HasBegun() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->began_at.has_value();
+  return this->requested_at.has_value();
 }
 
 bool GracefulStop::TryAccept(kernel::Millis time_limit, kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   if (this->is_over) return false;
-  if (this->began_at) {
-    const auto elapsed = now - *this->began_at;
+  if (this->requested_at) {
+    const auto elapsed = now - *this->requested_at;
     const bool ends_in_time =
         time_limit <= this->duration - kResponseMargin - elapsed;
     if (elapsed > kNoticeTime && !ends_in_time) return false;
@@ -50,12 +53,12 @@
 
 std::string GracefulStop::Pending(kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  if (!this->began_at) return "";
-  const auto elapsed = now - *this->began_at;
-  if (!this->is_over && elapsed < this->duration) {
+  if (!this->requested_at) return "";
+  if (!this->is_over && now - *this->requested_at < this->duration) {
     if (this->accepted > 0)
       return std::to_string(this->accepted) + " requests in flight";
-    if (elapsed < this->address_use) return "callers that keep this address";
+    if (now - this->began_at < this->address_use)
+      return "callers that keep this address";
   }
   this->is_over = true;
   return "";
--- a/src/direct/internal/graceful_stop.h
+++ b/src/direct/internal/graceful_stop.h
@@ -11,17 +11,20 @@
 
 /// Decides which requests a gateway accepts, and when a graceful stop is over.
 /// It counts the accepted requests itself, so that no stop ends between the
-/// acceptance of a request and its execution. Thread-safe.
+/// acceptance of a request and its execution. All times are those of
+/// kernel::BootNow, since the grace period does not end later if the machine is
+/// suspended. Thread-safe.
 class GracefulStop {
  public:
-  /// @param grace_period time from the beginning of a stop to the moment at
-  /// which the platform ends the process.
+  /// @param grace_period time from the request to stop to the moment at which
+  /// the platform ends the process.
   /// @param address_ttl time for which callers may use the addresses that they
   /// were given.
   GracefulStop(kernel::Millis grace_period, kernel::Millis address_ttl);
 
   /// Begins the stop. Does nothing if it has begun already.
-  void Begin(kernel::TimePoint now);
+  /// @param requested_at time from which the grace period is counted.
+  void Begin(kernel::TimePoint requested_at, kernel::TimePoint now);
   bool HasBegun() const;
 
   /// Accepts a request unless its response could be cut off by the end of the
@@ -38,12 +41,14 @@
   std::string Pending(kernel::TimePoint now);
 
  private:
-  /// Time from the beginning of the stop to its end.
+  /// Time from the request to stop to the end of the stop.
   kernel::Millis duration;
   /// Time for which callers may still use this gateway's address.
   kernel::Millis address_use;
   mutable std::mutex mutex;  ///< Guards all members below.
-  std::optional<kernel::TimePoint> began_at;
+  /// When the stop was requested, once it has begun.
+  std::optional<kernel::TimePoint> requested_at;
+  kernel::TimePoint began_at;  ///< When callers could begin to learn of it.
   bool is_over = false;
   std::size_t accepted = 0;  ///< Accepted requests that have not ended.
 };
--- a/src/direct/tests/graceful_stop_test.cc
+++ b/src/direct/tests/graceful_stop_test.cc
@@ -23,7 +23,7 @@
      accepts_everything_before_it_and_while_callers_learn_of_it) {
   GracefulStop stop(kGracePeriod, kAddressTtl);
   cr_expect(stop.TryAccept(kLongLimit, kBegin));
-  stop.Begin(kBegin);
+  stop.Begin(kBegin, kBegin);
   cr_expect(stop.TryAccept(kLongLimit, At(0)));
   cr_expect(stop.TryAccept(kLongLimit, At(3'000)));
 }
@@ -32,7 +32,7 @@
 Test(graceful_stop, accepts_later_only_what_ends_before_it_is_over) {
   for (kernel::Millis limit{0}; limit <= kLongLimit; limit += kStep) {
     GracefulStop stop(kGracePeriod, kAddressTtl);
-    stop.Begin(kBegin);
+    stop.Begin(kBegin, kBegin);
     for (auto now = At(3'001); now < kBegin + kGracePeriod; now += kStep) {
       if (!stop.TryAccept(limit, now)) continue;
       cr_assert_neq(stop.Pending(now + limit), "", "limit %ld, %ld after",
@@ -44,7 +44,7 @@
 
 Test(graceful_stop, accepts_short_requests_longer_than_long_ones) {
   GracefulStop stop(kGracePeriod, kAddressTtl);
-  stop.Begin(kBegin);
+  stop.Begin(kBegin, kBegin);
   cr_expect_not(stop.TryAccept(kLongLimit, At(3'500)));
   cr_expect(stop.TryAccept(kShortLimit, At(3'500)));
   cr_expect(stop.TryAccept(kShortLimit, At(6'000)));
@@ -53,7 +53,7 @@
 
 Test(graceful_stop, waits_for_accepted_requests_and_for_callers) {
   GracefulStop stop(kGracePeriod, kAddressTtl);
-  stop.Begin(kBegin);
+  stop.Begin(kBegin, kBegin);
   cr_expect_neq(stop.Pending(At(2'900)), "");
   cr_assert(stop.TryAccept(kLongLimit, At(2'950)));
   cr_expect_neq(stop.Pending(At(3'100)), "");
@@ -64,7 +64,7 @@
 // Guards against a request that is accepted while the process exits.
 Test(graceful_stop, accepts_nothing_once_it_is_over) {
   GracefulStop stop(kGracePeriod, kAddressTtl);
-  stop.Begin(kBegin);
+  stop.Begin(kBegin, kBegin);
   cr_assert_eq(stop.Pending(At(3'100)), "");
   cr_expect_not(stop.TryAccept(kShortLimit, At(3'100)));
   cr_expect_eq(stop.Pending(At(3'200)), "");
@@ -73,10 +73,30 @@
 Test(graceful_stop, ends_before_the_grace_period_does) {
   GracefulStop stop(kGracePeriod, kAddressTtl);
   cr_assert(stop.TryAccept(kLongLimit, kBegin));
-  stop.Begin(kBegin);
+  stop.Begin(kBegin, kBegin);
   cr_expect_neq(stop.Pending(At(7'200)), "");
   cr_expect_eq(stop.Pending(At(7'400)), "");
   cr_expect_not(stop.TryAccept(kernel::Millis(0), At(7'400)));
 }
 
+// Guards against a stop that outlasts the grace period because the process was
+// frozen when it was asked to stop.
+Test(graceful_stop, counts_its_time_from_the_request_to_stop) {
+  GracefulStop stop(kGracePeriod, kAddressTtl);
+  cr_assert(stop.TryAccept(kLongLimit, kBegin));
+  stop.Begin(kBegin, At(4'000));
+  cr_expect_not(stop.TryAccept(kLongLimit, At(4'000)));
+  cr_expect(stop.TryAccept(kShortLimit, At(6'000)));
+  cr_expect_not(stop.TryAccept(kShortLimit, At(6'500)));
+  cr_expect_neq(stop.Pending(At(7'200)), "");
+  cr_expect_eq(stop.Pending(At(7'400)), "");
+}
+
+Test(graceful_stop, gives_callers_time_from_when_they_can_learn_of_it) {
+  GracefulStop stop(kGracePeriod, kAddressTtl);
+  stop.Begin(kBegin, At(2'000));
+  cr_expect_neq(stop.Pending(At(4'900)), "");
+  cr_expect_eq(stop.Pending(At(5'100)), "");
+}
+
 }  // namespace banyanlane::direct
--- a/src/entry/entry_module.cc
+++ b/src/entry/entry_module.cc
@@ -69,7 +69,9 @@
                      {{"listen", this->listen}});
   }
 
-  void Drain() override { this->service->Drain(kernel::Clock::now()); }
+  void Drain(kernel::TimePoint /*requested_at*/) override {
+    this->service->Drain(kernel::Clock::now());
+  }
   std::string Pending() override {
     return this->service->Pending(kernel::Clock::now());
   }
--- a/src/kernel/i_module.h
+++ b/src/kernel/i_module.h
@@ -8,6 +8,7 @@
 #include <typeindex>
 
 #include "kernel/settings.h"
+#include "kernel/time.h"
 
 namespace banyanlane::kernel {
 
@@ -74,7 +75,10 @@
 
   /// Begins a graceful shutdown: the module accepts no new work, and requests
   /// in flight continue.
-  virtual void Drain() {}
+  /// @param requested_at time of kernel::BootNow from which the grace period is
+  /// counted. It is long past if the process was frozen when it was asked to
+  /// stop.
+  virtual void Drain(TimePoint /*requested_at*/) {}
 
   /// Returns a description of what a graceful shutdown still waits for, or ""
   /// if it waits for nothing.
