Answer the requests that are left when a stop ends

What callers saw: a request that waited for capacity when a planned stop ended lost its connection without an answer, 0.7 s before the end of the grace period. Requests that may not be repeated were among them. So did requests at a server that had not begun its response.

Cause: in the first 3 s of a stop all requests are accepted, and before it all are. Their time limits can be longer than the stop, and with a limit of 40 s a request may wait in the queue for 10 s. The stop ended at 7.3 s whatever was left, and the end of the process closed the connections. No server was at work on the waiting ones, so that nothing excuses it.

Evidence: gateway_stop_end/answers_the_requests_that_wait_for_capacity, a real gateway, one server with 8 slots, 40 callers on kept connections, work of 9 s, limits of 40 s, SIGTERM while requests wait.

Why this works: at 7.3 s the stop closes. It accepts nothing, and each request that is left is answered through its flow, as at its own time limit: 503 if no server has it, 504 if one may have run it; a stream that has begun is cut as before. The process waits up to 0.3 s until these answers are written. Responses that are written during a stop all say that the connection is closed, not only those whose request came during it.

The unit test that a stop is over at 7.4 s with a request left now checks that nothing is accepted from 7.3 s and that the stop is over at 7.6 s, since the last answers come in between. The other one that asked for a stop that is not over now asks for one that does not even close.

--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -101,6 +101,8 @@
   DirectActions OnCapacity(kernel::TimePoint now);
   DirectActions OnTimer(kernel::TimePoint now);
   DirectActions OnCallerDisconnected(kernel::TimePoint now);
+  /// Answers the request at once, since the process ends.
+  DirectActions OnStopEnd(kernel::TimePoint now);
 
   /// Returns when OnTimer is due.
   kernel::TimePoint NextTimer() const;
--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -235,4 +235,17 @@
   this->Finish("completed");
 }
 
+DirectActions DirectFlow::OnStopEnd(kernel::TimePoint now) {
+  if (this->state == State::kDone) return {};
+  if (this->state == State::kQueued) {
+    this->LeaveQueue(now);
+    this->FailRequest("leaving", kernel::Millis(0));
+    return this->TakeActions();
+  }
+  this->may_have_run = true;
+  this->CancelAttempt(AttemptResult::kCancelled);
+  this->FailRequest("timeout", this->context.limits.retry_after);
+  return this->TakeActions();
+}
+
 }  // namespace banyanlane::direct
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -272,6 +272,7 @@
                             DirectActions actions) {
   for (DirectAction& action : actions) {
     bool is_connected = true;
+    if (this->stop.HasBegun()) exchange.CloseAfterResponse();
     if (auto* complete = std::get_if<SendResponse>(&action)) {
       exchange.Reply(complete->response);
       return false;
@@ -293,7 +294,6 @@
       return false;
     }
     if (auto* head = std::get_if<SendStreamHead>(&action)) {
-      if (this->stop.HasBegun()) exchange.CloseAfterResponse();
       is_connected = exchange.BeginStream(head->status, head->headers);
       this->metrics->ObserveMillis("banyanlane_first_part_millis",
                                    std::chrono::duration<double, std::milli>(
@@ -363,7 +363,15 @@
 }
 
 std::string DirectService::Pending(kernel::TimePoint now) {
-  return this->stop.Pending(now);
+  std::string pending = this->stop.Pending(now);
+  if (this->stop.IsClosing()) this->EndRequests(kernel::Clock::now());
+  return pending;
+}
+
+void DirectService::EndRequests(kernel::TimePoint now) {
+  for (const auto& runner : this->runners.Values()) {
+    runner->UpdateFlow([now](DirectFlow& flow) { return flow.OnStopEnd(now); });
+  }
 }
 
 }  // namespace banyanlane::direct
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -68,7 +68,8 @@
   /// @param requested_at time from which the grace period is counted. Both
   /// times are those of kernel::BootNow.
   void Drain(kernel::TimePoint requested_at, kernel::TimePoint now);
-  /// Returns what the stop waits for, or "" when it is over.
+  /// Returns what the stop waits for, or "" when it is over. Answers the
+  /// requests that are left when the stop closes.
   /// @param now present time of kernel::BootNow.
   std::string Pending(kernel::TimePoint now);
 
@@ -104,6 +105,8 @@
   /// Sends queued requests of `service` while it has capacity.
   void SendQueued(const std::string& service, kernel::TimePoint now);
   std::shared_ptr<const RouteTable> Routes();
+  /// Answers all requests that are in progress.
+  void EndRequests(kernel::TimePoint now);
   void SetGauges(kernel::TimePoint now);
 
   GatewaySettings settings;
--- a/src/direct/internal/graceful_stop.cc
+++ b/src/direct/internal/graceful_stop.cc
@@ -5,8 +5,12 @@
 
 /// Callers may keep addresses for up to this multiple of their time to live.
 constexpr int kAddressTtlFactor = 3;
-/// Time between the end of the stop and the end of the grace period.
+/// Time from the moment at which the stop closes to the end of the grace
+/// period.
 constexpr kernel::Millis kGraceMargin{700};
+/// Longest time for the answers to the requests that are left when the stop
+/// closes.
+constexpr kernel::Millis kClosingTime{300};
 /// Time from the request to stop in which callers learn of it.
 constexpr kernel::Millis kNoticeTime{3'000};
 /// Time that a response needs to reach the caller when its request has reached
@@ -35,7 +39,7 @@
 
 bool GracefulStop::TryAccept(kernel::Millis time_limit, kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  if (this->is_over) return false;
+  if (this->closing_since) return false;
   if (this->requested_at) {
     const auto elapsed = now - *this->requested_at;
     const bool ends_in_time =
@@ -54,14 +58,21 @@
 std::string GracefulStop::Pending(kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   if (!this->requested_at) return "";
-  if (!this->is_over && now - *this->requested_at < this->duration) {
+  if (!this->closing_since && now - *this->requested_at < this->duration) {
     if (this->accepted > 0)
       return std::to_string(this->accepted) + " requests in flight";
     if (now - this->began_at < this->address_use)
       return "callers that keep this address";
   }
-  this->is_over = true;
+  if (!this->closing_since) this->closing_since = now;
+  if (this->accepted > 0 && now - *this->closing_since < kClosingTime)
+    return std::to_string(this->accepted) + " last answers";
   return "";
 }
 
+bool GracefulStop::IsClosing() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->closing_since.has_value();
+}
+
 }  // namespace banyanlane::direct
--- a/src/direct/internal/graceful_stop.h
+++ b/src/direct/internal/graceful_stop.h
@@ -10,10 +10,11 @@
 namespace banyanlane::direct {
 
 /// Decides which requests a gateway accepts, and when a graceful stop is over.
-/// It counts the accepted requests itself, so that no stop ends between the
-/// acceptance of a request and its execution. All times are those of
-/// kernel::BootNow, since the grace period does not end later if the machine is
-/// suspended. Thread-safe.
+/// At its end, nothing is accepted any more, and the requests that are left are
+/// to be answered at once. It counts the accepted requests itself, so that no
+/// stop ends between the acceptance of a request and its execution. All times
+/// are those of kernel::BootNow, since the grace period does not end later if
+/// the machine is suspended. Thread-safe.
 class GracefulStop {
  public:
   /// @param grace_period time from the request to stop to the moment at which
@@ -36,12 +37,14 @@
   /// Records that the response to an accepted request has ended.
   void OnEnded();
 
-  /// Returns what the stop waits for. When it returns "", the stop is over, and
-  /// no request is accepted any more.
+  /// Returns what the stop waits for. When it returns "", the stop is over.
   std::string Pending(kernel::TimePoint now);
+  /// Returns whether Pending has found that the time is up or that nothing is
+  /// left to wait for. No request is accepted any more.
+  bool IsClosing() const;
 
  private:
-  /// Time from the request to stop to the end of the stop.
+  /// Time from the request to stop to the moment at which it closes.
   kernel::Millis duration;
   /// Time for which callers may still use this gateway's address.
   kernel::Millis address_use;
@@ -49,7 +52,7 @@
   /// When the stop was requested, once it has begun.
   std::optional<kernel::TimePoint> requested_at;
   kernel::TimePoint began_at;  ///< When callers could begin to learn of it.
-  bool is_over = false;
+  std::optional<kernel::TimePoint> closing_since;
   std::size_t accepted = 0;  ///< Accepted requests that have not ended.
 };
 
--- a/src/direct/tests/graceful_stop_test.cc
+++ b/src/direct/tests/graceful_stop_test.cc
@@ -35,7 +35,8 @@
     stop.Begin(kBegin, kBegin);
     for (auto now = At(3'001); now < kBegin + kGracePeriod; now += kStep) {
       if (!stop.TryAccept(limit, now)) continue;
-      cr_assert_neq(stop.Pending(now + limit), "", "limit %ld, %ld after",
+      cr_assert_neq(stop.Pending(now + limit), "");
+      cr_assert_not(stop.IsClosing(), "limit %ld, %ld after",
                     static_cast<long>(limit.count()),
                     static_cast<long>(kernel::MillisBetween(kBegin, now)));
     }
@@ -75,8 +76,23 @@
   cr_assert(stop.TryAccept(kLongLimit, kBegin));
   stop.Begin(kBegin, kBegin);
   cr_expect_neq(stop.Pending(At(7'200)), "");
-  cr_expect_eq(stop.Pending(At(7'400)), "");
-  cr_expect_not(stop.TryAccept(kernel::Millis(0), At(7'400)));
+  cr_expect_not(stop.IsClosing());
+  cr_expect_neq(stop.Pending(At(7'300)), "");
+  cr_expect(stop.IsClosing());
+  cr_expect_not(stop.TryAccept(kernel::Millis(0), At(7'300)));
+  cr_expect_eq(stop.Pending(At(7'600)), "");
+}
+
+// Guards against a stop that ends before the requests that are left have their
+// answers.
+Test(graceful_stop, waits_for_the_last_answers) {
+  GracefulStop stop(kGracePeriod, kAddressTtl);
+  cr_assert(stop.TryAccept(kLongLimit, kBegin));
+  stop.Begin(kBegin, kBegin);
+  cr_expect_neq(stop.Pending(At(7'300)), "");
+  cr_expect_neq(stop.Pending(At(7'500)), "");
+  stop.OnEnded();
+  cr_expect_eq(stop.Pending(At(7'500)), "");
 }
 
 // Guards against a stop that outlasts the grace period because the process was
@@ -89,7 +105,10 @@
   cr_expect(stop.TryAccept(kShortLimit, At(6'000)));
   cr_expect_not(stop.TryAccept(kShortLimit, At(6'500)));
   cr_expect_neq(stop.Pending(At(7'200)), "");
-  cr_expect_eq(stop.Pending(At(7'400)), "");
+  cr_expect_not(stop.IsClosing());
+  cr_expect_neq(stop.Pending(At(7'300)), "");
+  cr_expect(stop.IsClosing());
+  cr_expect_eq(stop.Pending(At(7'600)), "");
 }
 
 Test(graceful_stop, gives_callers_time_from_when_they_can_learn_of_it) {
--- /dev/null
+++ b/tests/processes/gateway_stop_end_test.cc
@@ -0,0 +1,76 @@
+#include <criterion/criterion.h>
+#include <poll.h>
+
+#include <csignal>
+
+#include "processes/gateway_fleet.h"
+#include "processes/stop_traffic.h"
+
+namespace banyanlane::processes {
+namespace {
+
+constexpr int kPaceMillis = 10;
+/// Work that lasts longer than a stop.
+constexpr int kLongWorkMillis = 9'000;
+/// More callers than the server runs requests at once.
+constexpr int kCallers = 40;
+/// Requests with this time limit may wait longer than a stop lasts.
+constexpr int kLongDeadlineMillis = 40'000;
+constexpr const char* kLongRoutes = R"({"version":1,"routeList":[
+    {"name":"a","host":"h.example","pathPrefix":"/plain/","type":"idempotent",
+     "timeoutMs":40000,"maxAttempts":2,"service":"model"},
+    {"name":"b","host":"h.example","pathPrefix":"/once/",
+     "type":"non_idempotent","timeoutMs":40000,"service":"model"}],
+    "services":[{"name":"model"}]})";
+
+/// Waits until a stopping gateway has ended, and kills it at the end of the
+/// grace period.
+void AwaitEnd(GatewayFleet& fleet, const std::string& gateway,
+              const PlannedStop& stop) {
+  while (fleet.IsRunning(gateway) &&
+         kernel::Clock::now() < stop.signalled_at + stop.grace_period)
+    poll(nullptr, 0, kPaceMillis);
+  if (fleet.IsRunning(gateway)) fleet.Kill(gateway);
+}
+
+/// Returns the number of requests that wait for capacity.
+int WaitingCount(GatewayFleet& fleet, const std::string& gateway) {
+  const std::string gauge = "\nbanyanlane_requests_waiting ";
+  const std::string page = fleet.AdminPage(gateway, "/metrics");
+  const std::size_t at = page.find(gauge);
+  return at == std::string::npos ? 0
+                                 : std::stoi(page.substr(at + gauge.size()));
+}
+
+}  // namespace
+
+// Guards against requests that wait for capacity when a stop ends, and lose
+// their connections without an answer.
+Test(gateway_stop_end, answers_the_requests_that_wait_for_capacity) {
+  GatewayFleet fleet;
+  fleet.StartStore();
+  WorkServer server(fleet.AddOwnServer("s1"));
+  fleet.Write("op/config", kLongRoutes);
+  fleet.AddGateway("g1");
+  cr_assert(fleet.AwaitServed("g1", "/plain/0"));
+  TrafficForm form;
+  form.path = "/once/a/";
+  form.callers = kCallers;
+  form.work_millis = kLongWorkMillis;
+  form.deadline_millis = kLongDeadlineMillis;
+  StopTraffic traffic(fleet.Address("g1"), form);
+  cr_assert(Fleet::Await([&] { return WaitingCount(fleet, "g1") > 0; }));
+  PlannedStop stop;
+  stop.signalled_at = kernel::Clock::now();
+  fleet.Signal("g1", SIGTERM);
+  AwaitEnd(fleet, "g1", stop);
+  const auto records = traffic.Finish();
+  const auto lost = LostRequests(records, server, stop);
+  cr_expect(lost.empty(), "%zu of %zu lost", lost.size(), records.size());
+  for (const CallerRecord& record : records) {
+    cr_expect(record.is_complete || record.sent_at > stop.signalled_at, "%s",
+              record.id.c_str());
+  }
+}
+
+}  // namespace banyanlane::processes
--- a/tests/processes/stop_traffic.cc
+++ b/tests/processes/stop_traffic.cc
@@ -46,6 +46,11 @@
   return found->second;
 }
 
+std::size_t WorkServer::RunCount() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->work_ends.size();
+}
+
 StopTraffic::StopTraffic(std::string address, TrafficForm form)
     : address(std::move(address)), form(std::move(form)) {
   for (int caller = 0; caller < this->form.callers; ++caller)
--- a/tests/processes/stop_traffic.h
+++ b/tests/processes/stop_traffic.h
@@ -25,6 +25,8 @@
   /// Returns until when the server worked on a request, or nothing if the
   /// request did not reach it.
   std::optional<kernel::TimePoint> WorkedUntil(const std::string& id);
+  /// Returns the number of requests that have reached the server.
+  std::size_t RunCount();
 
  private:
   void Serve(RawConnection& connection);
