Close callers' connections before the exit that ends a stop

What callers saw: when nobody read the output of a gateway, the process did not exit at the end of its stop. It kept the idle connections of callers until the platform killed it, and a request that came on one of them waited up to 5 s for the end of the connection.

Cause: the end of a stop stopped the threads that serve connections, but left the open connections to the end of the process, and the process waited without a limit until its last log lines were written.

Evidence: gateway_stop_end/leaves_no_caller_waiting_when_nobody_reads_its_log runs a real gateway whose output is a full pipe, with callers on kept connections and one that is idle until the stop has closed.

Why this works: a stop that closes ends accepting and closes idle connections itself, and connections that finish later close as well. HttpServer counts its busy connections. The process waits at most 100 ms for its log, and leaves without it if the output is still blocked.

--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -27,6 +28,8 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 constexpr kernel::Millis kAdminTimeout{3'000};
+/// Longest time to write the last log lines of a process.
+constexpr kernel::Millis kLogTimeout{100};
 
 constexpr char kUsage[] =
     R"(load balancer for expert-parallel model groups
@@ -61,7 +64,7 @@
   if (const kernel::Error* error = kernel::ErrorOf(assembled))
     return Fail(*error);
   const int status = std::get<0>(assembled)->Run(signals);
-  kernel::StopLog();
+  if (!kernel::StopLog(kLogTimeout)) std::_Exit(status);
   return status;
 }
 
--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -88,7 +88,9 @@
     this->service->Drain(requested_at, kernel::BootNow());
   }
   std::string Pending() override {
-    return this->service->Pending(kernel::BootNow());
+    std::string pending = this->service->Pending(kernel::BootNow());
+    if (this->service->IsClosing()) this->server->StopAccepting();
+    return pending;
   }
   void Stop() override { this->server->StopAccepting(); }
 
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -72,6 +72,8 @@
   /// requests that are left when the stop closes.
   /// @param now present time of kernel::BootNow.
   std::string Pending(kernel::TimePoint now);
+  /// Returns whether a stop has reached its last phase.
+  bool IsClosing() const { return this->stop.IsClosing(); }
 
   EndpointPool& endpoints() { return this->pool; }
   std::size_t InFlight() { return this->runners.Size(); }
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -19,13 +19,16 @@
   virtual ~IHttpServer() = default;
   /// Returns the port that the server listens on.
   virtual std::uint16_t port() const = 0;
-  /// Stops accepting connections. An open connection is closed after the
-  /// response to its current request or, if it is idle, to its next one.
+  /// Stops accepting connections and closes those that are idle. The others are
+  /// closed after the responses to the requests that have been received.
   virtual void StopAccepting() = 0;
   /// Sets the limits for requests that begin after this call.
   virtual void SetLimits(const ServerLimits& limits) = 0;
   /// Returns the number of requests that the handler is processing.
   virtual std::size_t ActiveExchanges() const = 0;
+  /// Returns the number of connections that receive, process or answer a
+  /// request.
+  virtual std::size_t BusyConnections() const = 0;
   /// Returns the number of failed attempts to accept a connection.
   virtual std::uint64_t FailedAccepts() const = 0;
 };
--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "http/internal/caller_connection.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -113,8 +114,16 @@
 void CallerConnection::AwaitRequest() {
   const kernel::Millis idle_timeout(
       this->server->CurrentLimits().idle_timeout_ms);
-  this->idle_ticket = this->server->tracker().AddIdle(
-      this->weak_from_this(), kernel::Clock::now() + idle_timeout);
+  this->idle_ticket =
+      this->server->tracker().AddIdle(this->weak_from_this(), *this->server,
+                                      kernel::Clock::now() + idle_timeout);
+  // The server may have closed its idle connections just before.
+  const bool must_close = !this->server->IsAccepting() &&
+                          this->server->tracker().RemoveIdle(this->idle_ticket);
+  if (must_close) {
+    this->stream.close();
+    return;
+  }
   this->stream.socket().async_wait(
       tcp::socket::wait_read,
       [self = this->shared_from_this()](const beast::error_code& failure) {
@@ -144,6 +153,8 @@
 }
 
 void CallerConnection::ServeRequests(asio::yield_context yield) {
+  this->server->OnConnectionBusy();
+  const absl::Cleanup on_idle = [this] { this->server->OnConnectionIdle(); };
   bool keep_open = true;
   do {
     keep_open = this->ServeRequest(yield);
--- a/src/http/internal/connection_tracker.cc
+++ b/src/http/internal/connection_tracker.cc
@@ -1,6 +1,7 @@
 #include "http/internal/connection_tracker.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace banyanlane::http {
 namespace {
@@ -38,11 +39,12 @@
 }
 
 std::uint64_t ConnectionTracker::AddIdle(
-    std::weak_ptr<IIdleConnection> connection, kernel::TimePoint until) {
+    std::weak_ptr<IIdleConnection> connection, const IHttpServer& server,
+    kernel::TimePoint until) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const std::uint64_t ticket = ++this->last_ticket;
   this->idle_ends[ticket] = until;
-  this->idle[{until, ticket}] = std::move(connection);
+  this->idle[{until, ticket}] = {std::move(connection), &server};
   return ticket;
 }
 
@@ -62,7 +64,7 @@
     const auto next = this->idle.begin();
     const auto [end, ticket] = next->first;
     if (end > now) return nullptr;
-    auto connection = next->second.lock();
+    auto connection = next->second.connection.lock();
     this->idle_ends.erase(ticket);
     this->idle.erase(next);
     if (connection) return connection;
@@ -77,6 +79,24 @@
   return true;
 }
 
+void ConnectionTracker::CloseIdleOf(const IHttpServer& server) {
+  std::vector<std::shared_ptr<IIdleConnection>> closed;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (auto it = this->idle.begin(); it != this->idle.end();) {
+      if (it->second.server != &server) {
+        ++it;
+        continue;
+      }
+      if (auto connection = it->second.connection.lock())
+        closed.push_back(std::move(connection));
+      this->idle_ends.erase(it->first.second);
+      it = this->idle.erase(it);
+    }
+  }
+  for (const auto& connection : closed) connection->CloseIdle();
+}
+
 void ConnectionTracker::CloseExpired(kernel::TimePoint now) {
   while (const auto next = this->RemoveNextIdle(now)) next->CloseIdle();
 }
--- a/src/http/internal/connection_tracker.h
+++ b/src/http/internal/connection_tracker.h
@@ -11,6 +11,8 @@
 
 namespace banyanlane::http {
 
+class IHttpServer;
+
 /// Connection that can be closed while it serves no request.
 class IIdleConnection {
  public:
@@ -41,10 +43,11 @@
   bool IsFull() const;
 
   /// Adds an idle connection.
+  /// @param server identifies its server in CloseIdleOf.
   /// @param until time at which the connection is closed if it is still idle.
   /// @return the ticket that identifies the connection in RemoveIdle.
   std::uint64_t AddIdle(std::weak_ptr<IIdleConnection> connection,
-                        kernel::TimePoint until);
+                        const IHttpServer& server, kernel::TimePoint until);
   /// Removes a connection that is no longer idle.
   /// @return false if the connection is already being closed.
   bool RemoveIdle(std::uint64_t ticket);
@@ -52,10 +55,17 @@
   /// Closes the idle connection whose idle time ends first.
   /// @return false if no connection is idle.
   bool CloseNextIdle();
+  /// Closes all idle connections of a server.
+  void CloseIdleOf(const IHttpServer& server);
   /// Closes the connections whose idle time has ended.
   void CloseExpired(kernel::TimePoint now);
 
  private:
+  struct IdleConnection {
+    std::weak_ptr<IIdleConnection> connection;
+    const IHttpServer* server = nullptr;  ///< Only compared.
+  };
+
   /// Removes and returns the idle connection whose idle time ends first.
   /// @return null if the idle time of no connection ends by `now`.
   std::shared_ptr<IIdleConnection> RemoveNextIdle(kernel::TimePoint now);
@@ -67,9 +77,7 @@
   /// End of the idle time by ticket.
   std::map<std::uint64_t, kernel::TimePoint> idle_ends;
   /// Idle connections by the end of their idle time and ticket.
-  std::map<std::pair<kernel::TimePoint, std::uint64_t>,
-           std::weak_ptr<IIdleConnection>>
-      idle;
+  std::map<std::pair<kernel::TimePoint, std::uint64_t>, IdleConnection> idle;
 };
 
 }  // namespace banyanlane::http
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -53,6 +53,7 @@
 
 void HttpServer::StopAccepting() {
   this->accepting = false;
+  this->resources.tracker->CloseIdleOf(*this);
   asio::post(this->io, [self = this->shared_from_this()] {
     beast::error_code ignored;
     self->acceptor.close(ignored);
--- a/src/http/internal/http_server.h
+++ b/src/http/internal/http_server.h
@@ -35,6 +35,7 @@
   void StopAccepting() override;
   void SetLimits(const ServerLimits& limits) override;
   std::size_t ActiveExchanges() const override { return this->active; }
+  std::size_t BusyConnections() const override { return this->busy; }
   std::uint64_t FailedAccepts() const override { return this->failed_accepts; }
 
   ServerLimits CurrentLimits() const;
@@ -43,6 +44,9 @@
   BodyBudget& bodies() { return *this->resources.bodies; }
   IHttpHandler& handler() { return *this->request_handler; }
 
+  /// Counts a connection that begins, or has ceased, to serve requests.
+  void OnConnectionBusy() { ++this->busy; }
+  void OnConnectionIdle() { --this->busy; }
   /// Passes a request to the handler. Aborts the exchange if the handler
   /// throws.
   void Handle(HttpExchange& exchange);
@@ -65,6 +69,7 @@
   SharedResources resources;
   std::uint16_t bound_port = 0;
   std::atomic<std::size_t> active{0};  ///< Number of Handle calls in progress.
+  std::atomic<std::size_t> busy{0};    ///< Number of busy connections.
   std::atomic<std::uint64_t> failed_accepts{0};
   std::atomic<bool> accepting{false};
   bool is_failing = false;  ///< Whether the last logged state is a failure.
--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -5,6 +5,9 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <future>
+#include <thread>
+
 namespace banyanlane::kernel {
 namespace {
 
@@ -160,7 +163,18 @@
       spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("events"));
 }
 
-void StopLog() { spdlog::shutdown(); }
+bool StopLog(Millis timeout) {
+  std::packaged_task<void()> shut_down(spdlog::shutdown);
+  const std::future<void> done = shut_down.get_future();
+  std::thread thread(std::move(shut_down));
+  if (done.wait_for(timeout) == std::future_status::ready) {
+    thread.join();
+    return true;
+  }
+  // It waits for a reader of the output, who may never come.
+  thread.detach();
+  return false;
+}
 
 void SetLogLevel(std::string_view level) {
   spdlog::set_level(spdlog::level::from_str(std::string(level)));
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "kernel/time.h"
+
 namespace banyanlane::kernel {
 
 /// Numbered log events, documented in docs/EVENTS.md.
@@ -88,7 +90,10 @@
 void StartLog();
 
 /// Writes the lines that are still queued and shuts the log down.
-void StopLog();
+/// @param timeout longest time that this takes.
+/// @return false if the output was blocked for that long. The log must not be
+/// used any more, not even by destructors.
+bool StopLog(Millis timeout);
 
 /// Sets the minimum level that is written, and the format of the lines.
 /// @param level "debug", "info", "warning" or "error".
--- a/tests/processes/fleet.cc
+++ b/tests/processes/fleet.cc
@@ -7,7 +7,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <boost/asio.hpp>
+#include <climits>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -116,6 +118,8 @@
   const std::string log = this->directory + "/" + name + ".log";
   posix_spawn_file_actions_addopen(&file_actions, 1, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
+  if (this->blocked_output >= 0)
+    posix_spawn_file_actions_adddup2(&file_actions, this->blocked_output, 1);
   posix_spawn_file_actions_adddup2(&file_actions, 1, 2);
   pid_t pid = 0;
   const int failed = posix_spawn(&pid, arguments[0], &file_actions, nullptr,
@@ -125,6 +129,17 @@
   this->pids[name] = pid;
 }
 
+void Fleet::BlockOutput() {
+  std::array<int, 2> ends{};
+  if (pipe2(ends.data(), O_CLOEXEC | O_NONBLOCK) != 0)
+    throw std::runtime_error("no pipe for the output");
+  this->blocked_output = ends[1];
+  const std::string block(PIPE_BUF, '.');
+  while (write(this->blocked_output, block.data(), block.size()) > 0) {
+  }
+  fcntl(this->blocked_output, F_SETFL, 0);
+}
+
 std::string Fleet::WriteSettings(const std::string& name,
                                  const std::string& text) {
   const std::string path = this->directory + "/" + name + ".ini";
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -139,6 +139,10 @@
   void IssueCertificate(const std::string& name, const std::string& common_name,
                         const std::string& authority = "authority");
 
+  /// Lets nobody read the output of processes that are started later, so that
+  /// they can't write to it.
+  void BlockOutput();
+
   /// Heartbeat interval of the links of nodes added later.
   int heartbeat_millis = 1'000;
   /// Time between two tokens of the engines started later.
@@ -170,6 +174,8 @@
   std::string ip;
   std::string directory;
   int next_port = 7000;
+  /// Full pipe for the output of processes, or -1 for a file each.
+  int blocked_output = -1;
   bool secured = false;
   std::string platform_address;  ///< Address of the platform or its relay.
   std::map<std::string, std::string> addresses;
--- a/tests/processes/gateway_stop_end_test.cc
+++ b/tests/processes/gateway_stop_end_test.cc
@@ -25,12 +25,15 @@
 
 /// Waits until a stopping gateway has ended, and kills it at the end of the
 /// grace period.
-void AwaitEnd(GatewayFleet& fleet, const std::string& gateway,
+/// @return whether it ended by itself.
+bool AwaitEnd(GatewayFleet& fleet, const std::string& gateway,
               const PlannedStop& stop) {
   while (fleet.IsRunning(gateway) &&
          kernel::Clock::now() < stop.signalled_at + stop.grace_period)
     poll(nullptr, 0, kPaceMillis);
-  if (fleet.IsRunning(gateway)) fleet.Kill(gateway);
+  if (!fleet.IsRunning(gateway)) return true;
+  fleet.Kill(gateway);
+  return false;
 }
 
 /// Returns the number of requests that wait for capacity.
@@ -73,4 +76,30 @@
   }
 }
 
+// Guards against an exit that waits for a reader of the log while it holds the
+// connections of callers.
+Test(gateway_stop_end, leaves_no_caller_waiting_when_nobody_reads_its_log) {
+  GatewayFleet fleet;
+  fleet.StartAll({}, {});
+  WorkServer server(fleet.AddOwnServer("s1"));
+  fleet.BlockOutput();
+  fleet.AddGateway("g1");
+  cr_assert(fleet.AwaitServed("g1", "/plain/0"));
+  StopTraffic traffic(fleet.Address("g1"), TrafficForm{});
+  cr_assert(Fleet::Await([&] { return traffic.AnswerCount() > 0; }));
+  KeptCaller idle(fleet.Address("g1"));
+  idle.Send(MakeRequest("/plain/a/0", "first", "x-deadline-ms: 5000\r\n", ""));
+  cr_assert(idle.Receive("first", kernel::Clock::now()).is_complete);
+  PlannedStop stop;
+  stop.signalled_at = kernel::Clock::now();
+  fleet.Signal("g1", SIGTERM);
+  auto records = traffic.Finish();
+  idle.Send(MakeRequest("/plain/a/0", "late", "x-deadline-ms: 5000\r\n", ""));
+  const auto sent_at = kernel::Clock::now();
+  cr_expect(AwaitEnd(fleet, "g1", stop));
+  records.push_back(idle.Receive("late", sent_at));
+  const auto lost = LostRequests(records, server, stop);
+  cr_expect(lost.empty(), "%zu of %zu lost", lost.size(), records.size());
+}
+
 }  // namespace banyanlane::processes
