--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -106,6 +106,8 @@
   /// Records that the caller has taken `bytes` of the events.
   DirectActions OnDelivered(std::size_t bytes, kernel::TimePoint now);
   DirectActions OnCallerDisconnected(kernel::TimePoint now);
+  /// Answers the request at once, since the process ends.
+  DirectActions OnStopEnd(kernel::TimePoint now);
 
   /// Returns when OnTimer is due.
   kernel::TimePoint NextTimer() const;
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 
+#include "kernel/boot_clock.h"
 #include "kernel/event_log.h"
 #include "kernel/hash.h"
 
@@ -181,11 +182,10 @@
 }
 
 void DirectService::Handle(http::IHttpExchange& exchange) {
-  const auto now = kernel::Clock::now();
   http::HttpRequest request = exchange.TakeRequest();
   const CallerRequestHead head = this->protocol->ReadRequest(request);
   if (this->stop.HasBegun()) exchange.CloseAfterResponse();
-  auto accepted = this->Accept(request, head, now);
+  auto accepted = this->Accept(request, head, kernel::BootNow());
   if (const auto* rejection = std::get_if<Rejection>(&accepted)) {
     this->Reject(exchange, *rejection, head.request_id);
     return;
@@ -273,6 +273,7 @@
                             DirectActions actions) {
   for (DirectAction& action : actions) {
     bool is_connected = true;
+    if (this->stop.HasBegun()) exchange.CloseAfterResponse();
     if (auto* complete = std::get_if<SendResponse>(&action)) {
       exchange.Reply(complete->response);
       return false;
@@ -294,7 +295,6 @@
       return false;
     }
     if (auto* head = std::get_if<SendStreamHead>(&action)) {
-      if (this->stop.HasBegun()) exchange.CloseAfterResponse();
       is_connected = exchange.BeginStream(head->status, head->headers);
       this->metrics->ObserveMillis("banyanlane_first_part_millis",
                                    std::chrono::duration<double, std::milli>(
@@ -361,13 +361,22 @@
   set("banyanlane_requests_waiting", this->queue.TotalLength());
 }
 
-void DirectService::Drain(kernel::TimePoint now) {
-  this->stop.Begin(now);
-  this->Publish(now);
+void DirectService::Drain(kernel::TimePoint requested_at,
+                          kernel::TimePoint now) {
+  this->stop.Begin(requested_at, now);
+  this->Publish(kernel::Clock::now());
 }
 
 std::string DirectService::Pending(kernel::TimePoint now) {
-  return this->stop.Pending(now);
+  std::string pending = this->stop.Pending(now);
+  if (this->stop.IsClosing()) this->EndRequests(kernel::Clock::now());
+  return pending;
+}
+
+void DirectService::EndRequests(kernel::TimePoint now) {
+  for (const auto& runner : this->runners.Values()) {
+    runner->UpdateFlow([now](DirectFlow& flow) { return flow.OnStopEnd(now); });
+  }
 }
 
 }  // namespace banyanlane::direct
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -64,8 +64,16 @@
   /// Sends the queued requests of all services that have capacity.
   void SendAllQueued(kernel::TimePoint now);
 
-  void Drain(kernel::TimePoint now);
+  /// Begins a graceful stop, and tells the peers.
+  /// @param requested_at time from which the grace period is counted. Both
+  /// times are those of kernel::BootNow.
+  void Drain(kernel::TimePoint requested_at, kernel::TimePoint now);
+  /// Returns what the stop waits for, or "" when it is over. Answers the
+  /// requests that are left when the stop closes.
+  /// @param now present time of kernel::BootNow.
   std::string Pending(kernel::TimePoint now);
+  /// Returns whether a stop has reached its last phase.
+  bool IsClosing() const { return this->stop.IsClosing(); }
 
   EndpointPool& endpoints() { return this->pool; }
   std::size_t InFlight() { return this->runners.Size(); }
@@ -82,6 +90,7 @@
   /// near. The stop must be told when the response to an accepted one has
   /// ended.
   /// @param request is moved from unless it is rejected.
+  /// @param now present time of kernel::BootNow.
   std::variant<DirectRequest, Rejection> Accept(http::HttpRequest& request,
                                                 const CallerRequestHead& head,
                                                 kernel::TimePoint now);
@@ -98,6 +107,8 @@
   /// Sends queued requests of `service` while it has capacity.
   void SendQueued(const std::string& service, kernel::TimePoint now);
   std::shared_ptr<const RouteTable> Routes();
+  /// Answers all requests that are in progress.
+  void EndRequests(kernel::TimePoint now);
   void SetGauges(kernel::TimePoint now);
 
   GatewaySettings settings;
--- a/src/direct/internal/graceful_stop.cc
+++ b/src/direct/internal/graceful_stop.cc
@@ -5,9 +5,13 @@
 
 /// Callers may keep addresses for up to this multiple of their time to live.
 constexpr int kAddressTtlFactor = 3;
-/// Time between the end of the stop and the end of the grace period.
+/// Time from the moment at which the stop closes to the end of the grace
+/// period.
 constexpr kernel::Millis kGraceMargin{700};
-/// Time from the beginning of the stop in which callers learn of it.
+/// Longest time for the answers to the requests that are left when the stop
+/// closes.
+constexpr kernel::Millis kClosingTime{300};
+/// Time from the request to stop in which callers learn of it.
 constexpr kernel::Millis kNoticeTime{3'000};
 /// Time that a response needs to reach the caller when its request has reached
 /// its time limit.
@@ -20,21 +24,24 @@
     : duration(grace_period - kGraceMargin),
       address_use(address_ttl * kAddressTtlFactor) {}
 
-void GracefulStop::Begin(kernel::TimePoint now) {
+void GracefulStop::Begin(kernel::TimePoint requested_at,
+                         kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  if (!this->began_at) this->began_at = now;
+  if (this->requested_at) return;
+  this->requested_at = requested_at;
+  this->began_at = now;
 }
 
 bool GracefulStop::HasBegun() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->began_at.has_value();
+  return this->requested_at.has_value();
 }
 
 bool GracefulStop::TryAccept(kernel::Millis time_limit, kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  if (this->is_over) return false;
-  if (this->began_at) {
-    const auto elapsed = now - *this->began_at;
+  if (this->closing_since) return false;
+  if (this->requested_at) {
+    const auto elapsed = now - *this->requested_at;
     const bool ends_in_time =
         time_limit <= this->duration - kResponseMargin - elapsed;
     if (elapsed > kNoticeTime && !ends_in_time) return false;
@@ -50,15 +57,22 @@
 
 std::string GracefulStop::Pending(kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  if (!this->began_at) return "";
-  const auto elapsed = now - *this->began_at;
-  if (!this->is_over && elapsed < this->duration) {
+  if (!this->requested_at) return "";
+  if (!this->closing_since && now - *this->requested_at < this->duration) {
     if (this->accepted > 0)
       return std::to_string(this->accepted) + " requests in flight";
-    if (elapsed < this->address_use) return "callers that keep this address";
+    if (now - this->began_at < this->address_use)
+      return "callers that keep this address";
   }
-  this->is_over = true;
+  if (!this->closing_since) this->closing_since = now;
+  if (this->accepted > 0 && now - *this->closing_since < kClosingTime)
+    return std::to_string(this->accepted) + " last answers";
   return "";
 }
 
+bool GracefulStop::IsClosing() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->closing_since.has_value();
+}
+
 }  // namespace banyanlane::direct
