Close the gaps in an entry's graceful stop

Callers of a stopping entry could lose accepted requests in four ways:

- A request was counted only some steps after its acceptance.
The stop could end in between, and the process exited with the request passed on.
- A request for the rest of a response was accepted at any time in a stop, with the longest deadline, and cut when the stop ended.
- The stop ended at the moment at which the last requests reached their deadlines, so that their responses were not written.
- The end of the stop followed the configuration in force.
One with shorter deadlines that arrived during the stop ended it before its requests.

Besides, a refusal or a list of addresses could be cut while it was written, and responses left kept connections open, on which callers went on sending.

EntryStop makes all of these decisions under one lock, with the time as an argument: it counts requests from their arrival, accepts work, limits its deadline to the end of the stop, and ends the stop. Once the stop is over, nothing is accepted. The stop waits for the deadlines of what was accepted, and some time for the responses. Responses of a stopping entry close their connections.

A stopping entry now checks a request before it refuses it, so that an invalid one gets its own status instead of 503.

--- a/src/entry/internal/entry_service.cc
+++ b/src/entry/internal/entry_service.cc
@@ -1,5 +1,7 @@
 #include "entry/internal/entry_service.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -52,6 +54,13 @@
       start_time(now) {}
 
 void EntryService::Handle(http::IHttpExchange& exchange) {
+  this->stop.OnArrived(kernel::Clock::now());
+  const absl::Cleanup on_ended = [this] { this->stop.OnEnded(); };
+  if (this->stop.HasBegun()) exchange.CloseAfterResponse();
+  this->HandleByPath(exchange);
+}
+
+void EntryService::HandleByPath(http::IHttpExchange& exchange) {
   const std::string path = exchange.request().Path();
   if (path == kAddressesPath) {
     this->HandleAddresses(exchange);
@@ -69,13 +78,9 @@
 }
 
 void EntryService::HandleAddresses(http::IHttpExchange& exchange) {
-  bool leaving = false;
-  {
-    const std::lock_guard<std::mutex> lock(this->drain_mutex);
-    leaving = this->draining_since.has_value();
-  }
   const EntryAddresses selection = this->address_selector.Select(
-      this->membership->Current(), OrganisationOf(exchange.request()), leaving);
+      this->membership->Current(), OrganisationOf(exchange.request()),
+      this->stop.HasBegun());
   json body;
   body["addresses"] = selection.addresses;
   body["keep_ms"] = selection.lifetime.count();
@@ -140,23 +145,15 @@
   return problem;
 }
 
-std::optional<Problem> EntryService::CheckServing(
-    const std::string& organisation, kernel::TimePoint now) {
-  if (auto not_ready = this->CheckConfigKnown(now)) return not_ready;
+Problem EntryService::StoppingProblem(const std::string& organisation) const {
   Problem problem;
   problem.status = 503;
   problem.step = "admit";
   problem.retry_after_ms = kRetryAfterMillis;
-  const config::ConfigPtr config = this->store->Current();
-  const std::lock_guard<std::mutex> lock(this->drain_mutex);
-  if (!this->draining_since) return std::nullopt;
-  const EntryAddresses others = this->address_selector.Select(
-      this->membership->Current(), organisation, true);
-  const auto address_lifetime =
-      std::min(others.lifetime, kernel::Millis(MaxDeadlineMillis(config) / 2));
-  if (now - *this->draining_since < address_lifetime) return std::nullopt;
   problem.reason = "stopping";
   problem.detail = "use";
+  const EntryAddresses others = this->address_selector.Select(
+      this->membership->Current(), organisation, true);
   for (const std::string& address : others.addresses)
     problem.detail += " " + address;
   return problem;
@@ -180,23 +177,20 @@
   return problem;
 }
 
-void EntryService::ClipDeadline(CallerRequest& request,
-                                kernel::TimePoint now) const {
-  const std::lock_guard<std::mutex> lock(this->drain_mutex);
-  if (!this->draining_since) return;
-  const std::int64_t elapsed_ms =
-      kernel::MillisBetween(*this->draining_since, now);
-  const std::int64_t remaining_ms =
-      std::max<std::int64_t>(1, MaxDeadlineMillis(request.config) - elapsed_ms);
-  request.deadline_ms =
-      std::min(request.deadline_ms, static_cast<std::uint64_t>(remaining_ms));
+std::optional<Problem> EntryService::Accept(CallerRequest& request,
+                                            kernel::TimePoint now) {
+  const auto granted =
+      this->stop.TryAccept(kernel::Millis(request.deadline_ms), now);
+  if (!granted) return this->StoppingProblem(request.organisation);
+  request.deadline_ms = static_cast<std::uint64_t>(granted->count());
+  return std::nullopt;
 }
 
 void EntryService::HandleWork(http::IHttpExchange& exchange) {
   const auto now = kernel::Clock::now();
   this->metrics->Count("banyanlane_requests_total");
   const std::string organisation = OrganisationOf(exchange.request());
-  if (const auto problem = this->CheckServing(organisation, now)) {
+  if (const auto problem = this->CheckConfigKnown(now)) {
     this->ReplyProblem(exchange, *problem);
     return;
   }
@@ -210,7 +204,10 @@
     this->ReplyProblem(exchange, *problem);
     return;
   }
-  this->ClipDeadline(request, now);
+  if (const auto problem = this->Accept(request, now)) {
+    this->ReplyProblem(exchange, *problem);
+    return;
+  }
   const config::ConfigPtr config = request.config;
   const config::Profile& profile = *request.profile;
   const EntryAddresses entry_addresses = this->address_selector.Select(
@@ -261,6 +258,10 @@
       profile != nullptr ? profile : &config->profiles.begin()->second;
   caller.organisation = organisation;
   caller.deadline_ms = static_cast<std::uint64_t>(MaxDeadlineMillis(config));
+  if (const auto problem = this->Accept(caller, kernel::Clock::now())) {
+    this->ReplyProblem(exchange, *problem);
+    return;
+  }
   this->RunFlow(exchange, RequestFlow::FlowIdOf(response_id->request),
                 std::move(caller), [&](RequestFlow& flow) {
                   return flow.StartResumed(*response_id, *offset,
@@ -392,26 +393,16 @@
 }
 
 void EntryService::Drain(kernel::TimePoint now) {
-  const std::lock_guard<std::mutex> lock(this->drain_mutex);
-  if (!this->draining_since) this->draining_since = now;
-}
-
-std::string EntryService::Pending(kernel::TimePoint now) {
-  const config::ConfigPtr config = this->store->Current();
-  const kernel::Millis max_deadline(MaxDeadlineMillis(config));
-  const auto address_lifetime = std::min(
+  const kernel::Millis max_deadline(MaxDeadlineMillis(this->store->Current()));
+  const auto address_use = std::min(
       this->address_selector.Select(this->membership->Current(), "", true)
           .lifetime,
       max_deadline / 2);
-  const std::size_t in_flight = this->flows.Size();
-  const std::lock_guard<std::mutex> lock(this->drain_mutex);
-  if (!this->draining_since) return "";
-  const auto elapsed = now - *this->draining_since;
-  if (elapsed >= max_deadline) return "";
-  if (in_flight > 0) return std::to_string(in_flight) + " requests in flight";
-  if (elapsed < address_lifetime)
-    return "callers that may still use this address";
-  return "";
+  this->stop.Begin(max_deadline, address_use, now);
+}
+
+std::string EntryService::Pending(kernel::TimePoint now) {
+  return this->stop.Pending(now);
 }
 
 }  // namespace banyanlane::entry
--- a/src/entry/internal/entry_service.h
+++ b/src/entry/internal/entry_service.h
@@ -2,12 +2,12 @@
 
 #include <atomic>
 #include <memory>
-#include <mutex>
 #include <string>
 
 #include "config/i_config.h"
 #include "entry/internal/address_selector.h"
 #include "entry/internal/endpoint_table.h"
+#include "entry/internal/entry_stop.h"
 #include "entry/internal/flow_table.h"
 #include "entry/internal/organisation_limits.h"
 #include "entry/internal/retry_budget.h"
@@ -46,7 +46,8 @@
 
   /// Begins a graceful shutdown.
   void Drain(kernel::TimePoint now);
-  /// Returns what the graceful shutdown still waits for, or "".
+  /// Returns what the graceful shutdown still waits for. When it returns "",
+  /// the shutdown is over, and no work is accepted any more.
   std::string Pending(kernel::TimePoint now);
 
   /// Returns a text for operators that shows to which endpoint a request would
@@ -58,6 +59,7 @@
   std::size_t InFlight() { return this->flows.Size(); }
 
  private:
+  void HandleByPath(http::IHttpExchange& exchange);
   void HandleAddresses(http::IHttpExchange& exchange);
   void HandleIssueKey(http::IHttpExchange& exchange);
   void HandleResume(http::IHttpExchange& exchange);
@@ -66,18 +68,18 @@
   /// Returns the problem if this entry does not know the configuration in force
   /// yet.
   std::optional<Problem> CheckConfigKnown(kernel::TimePoint now) const;
-  /// Returns the problem if the entry does not accept work now.
-  std::optional<Problem> CheckServing(const std::string& organisation,
-                                      kernel::TimePoint now);
+  /// Returns the response to work that is refused because the entry stops.
+  Problem StoppingProblem(const std::string& organisation) const;
   /// Returns the problem if `request` needs an issued idempotency key and has
   /// none.
   std::optional<Problem> CheckKey(const CallerRequest& request,
                                   kernel::TimePoint now);
   /// Returns a new idempotency key, or "" if the profile has no endpoint.
   std::string IssueKey(const config::Profile& profile, kernel::TimePoint now);
-  /// During a graceful shutdown, limits the deadline of `request` to the time
-  /// that is left of the shutdown.
-  void ClipDeadline(CallerRequest& request, kernel::TimePoint now) const;
+  /// Returns the problem if `request` is refused because the entry stops.
+  /// Otherwise accepts it, and limits its deadline to the end of a graceful
+  /// shutdown.
+  std::optional<Problem> Accept(CallerRequest& request, kernel::TimePoint now);
   /// Runs a flow to its end.
   /// @param start Starts the flow and returns its first actions.
   template <typename Start>
@@ -107,8 +109,7 @@
   std::atomic<bool> peer_connected{false};
   /// Highest revision that a peer had when its link opened.
   std::atomic<std::uint64_t> newest_peer_revision{0};
-  mutable std::mutex drain_mutex;
-  std::optional<kernel::TimePoint> draining_since;
+  EntryStop stop;
 };
 
 }  // namespace banyanlane::entry
--- a/tests/processes/fleet.cc
+++ b/tests/processes/fleet.cc
@@ -344,6 +344,7 @@
     const std::shared_ptr<ResponseRecorder>& response) {
   http::CallLimits limits;
   limits.body_idle_timeout = kRequestTimeout;
+  limits.reuse_connection = this->reuse_connections;
   return this->runtime->Call(this->Address(entry), std::move(request), limits,
                              response);
 }
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -143,6 +143,8 @@
   int heartbeat_millis = 1'000;
   /// Time between two tokens of the engines started later.
   int token_millis = 5;
+  /// Whether requests are sent on connections that earlier ones have left open.
+  bool reuse_connections = false;
 
  protected:
   /// Allocates a port and stores the address under `name`.
