Deliver queued messages when a process stops its links

The end of a process discarded what was queued on its links: the stop of a hub ended its thread at once. A stream whose agent stopped could lack its last part and its end, so that its entry waited for a link that never came back and then cut the response. A leader's command to leave it could be lost in the same way.

The hub now closes each link by the handshake of the protocol, whose frames follow all queued messages, and waits for the acknowledgements of its peers up to a bound of 600 ms for all links together. No links are accepted or opened meanwhile.

--- a/src/link/i_link.h
+++ b/src/link/i_link.h
@@ -50,6 +50,11 @@
   kernel::Millis handshake_timeout{2'000};
   kernel::Millis min_reconnect_delay{100};
   kernel::Millis max_reconnect_delay{2'000};
+  /// Maximum time from closing a link to the acknowledgement of the peer, which
+  /// has then received all messages.
+  kernel::Millis close_timeout{200};
+  /// The same for all links together when the process stops.
+  kernel::Millis stop_timeout{600};
   std::size_t max_frame_bytes = std::size_t{8} * 1024 * 1024;
   std::size_t max_queue_bytes = std::size_t{32} * 1024 * 1024;
 
@@ -83,7 +88,12 @@
   /// Returns the links that are up.
   virtual std::vector<LinkPtr> Links() const = 0;
 
+  /// Returns the number of bytes of messages that wait to be sent.
+  virtual std::size_t QueuedBytes() const = 0;
+
   virtual void Start() = 0;
+  /// Closes all links. Before it returns, peers that acknowledge the close in
+  /// time have received all messages that were sent.
   virtual void Stop() = 0;
 };
 
--- a/src/link/internal/link_session.cc
+++ b/src/link/internal/link_session.cc
@@ -43,8 +43,12 @@
 }
 
 void LinkSession::Close(std::string_view reason) {
+  this->CloseWithin(this->shared->limits.close_timeout, reason);
+}
+
+void LinkSession::CloseWithin(kernel::Millis timeout, std::string_view reason) {
   if (this->closed.exchange(true)) return;
-  this->transport->Close(reason);
+  this->transport->Close(reason, timeout);
 }
 
 void LinkSession::OnOpen(std::string certified_name, kernel::TimePoint now) {
--- a/src/link/internal/link_session.h
+++ b/src/link/internal/link_session.h
@@ -17,7 +17,9 @@
  public:
   virtual ~ITransport() = default;
   virtual void Send(std::string frame) = 0;
-  virtual void Close(std::string_view reason) = 0;
+  /// Closes the connection after what is queued has been sent.
+  /// @param timeout time after which the connection is ended in any case.
+  virtual void Close(std::string_view reason, kernel::Millis timeout) = 0;
   /// Returns the number of bytes queued and not yet sent.
   virtual std::size_t QueuedBytes() const = 0;
   virtual std::string Address() const = 0;
@@ -57,7 +59,12 @@
   /// Reports the end of the link to the observers.
   void OnClosed(kernel::TimePoint now);
 
+  /// Closes the link after all messages have been sent.
+  /// @param timeout maximum time until the peer acknowledges the close.
+  void CloseWithin(kernel::Millis timeout, std::string_view reason);
+
   bool IsUp() const { return this->up; }
+  std::size_t QueuedBytes() const { return this->transport->QueuedBytes(); }
 
  private:
   void OnHello(const Hello& hello, kernel::TimePoint now);
--- a/src/link/internal/ws_hub.cc
+++ b/src/link/internal/ws_hub.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr kernel::Millis kTickPeriod{50};
-constexpr int kCloseHandshakeMillis = 200;
 constexpr int kListenBacklog = 512;
 
 /// Transport on a websocketpp connection.
@@ -28,15 +27,16 @@
     static_cast<void>(open->send(frame, websocketpp::frame::opcode::binary));
   }
 
-  void Close(std::string_view reason) override {
-    boost::asio::post(
-        this->io, [weak = this->connection, text = std::string(reason)] {
-          const auto open = weak.lock();
-          if (!open) return;
-          websocketpp::lib::error_code ignored;
-          open->close(websocketpp::close::status::normal, text, ignored);
-          if (ignored) open->terminate(ignored);
-        });
+  void Close(std::string_view reason, kernel::Millis timeout) override {
+    boost::asio::post(this->io, [weak = this->connection,
+                                 text = std::string(reason), timeout] {
+      const auto open = weak.lock();
+      if (!open) return;
+      open->set_close_handshake_timeout(timeout.count());
+      websocketpp::lib::error_code ignored;
+      open->close(websocketpp::close::status::normal, text, ignored);
+      if (ignored) open->terminate(ignored);
+    });
   }
 
   std::size_t QueuedBytes() const override {
@@ -81,7 +81,6 @@
   endpoint.set_max_message_size(this->shared->limits.max_frame_bytes);
   endpoint.set_open_handshake_timeout(
       this->shared->limits.handshake_timeout.count());
-  endpoint.set_close_handshake_timeout(kCloseHandshakeMillis);
   this->security.Apply(endpoint);
   endpoint.set_tcp_post_init_handler([&endpoint](const Handle& handle) {
     // Without no_delay, small frames in a row would each wait for an
@@ -148,6 +147,7 @@
         this->shared, std::move(transport), kernel::Clock::now());
     this->SetHandlers(this->server, connection, session);
     const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->is_stopping) return false;
     this->sessions.push_back(session);
     return true;
   });
@@ -194,10 +194,37 @@
   this->thread = std::thread([this] { this->io.run(); });
 }
 
+template <typename Security>
+std::size_t WsHub<Security>::QueuedBytes() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::size_t bytes = 0;
+  for (const auto& session : this->sessions) bytes += session->QueuedBytes();
+  return bytes;
+}
+
 template <typename Security>
 void WsHub<Security>::Stop() {
+  if (!this->thread.joinable()) return;
+  this->CloseAll();
+  {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->all_closed.wait_for(lock, this->shared->limits.stop_timeout,
+                              [this] { return this->sessions.empty(); });
+  }
   this->io.stop();
-  if (this->thread.joinable()) this->thread.join();
+  this->thread.join();
+}
+
+template <typename Security>
+void WsHub<Security>::CloseAll() {
+  std::vector<std::shared_ptr<LinkSession>> all;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->is_stopping = true;
+    all = this->sessions;
+  }
+  for (const auto& session : all)
+    session->CloseWithin(this->shared->limits.stop_timeout, "stopping");
 }
 
 template <typename Security>
@@ -224,6 +251,7 @@
 template <typename Security>
 void WsHub<Security>::ConnectDueTargets(kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->is_stopping) return;
   for (auto& [address, target] : this->targets) {
     if (!target.session && now >= target.next_attempt)
       this->Connect(address, target, now);
@@ -256,6 +284,7 @@
   this->sessions.erase(
       std::remove(this->sessions.begin(), this->sessions.end(), session),
       this->sessions.end());
+  if (this->sessions.empty()) this->all_closed.notify_all();
   for (auto& [address, target] : this->targets) {
     if (target.session != session) continue;
     target.session = nullptr;
--- a/src/link/internal/ws_hub.h
+++ b/src/link/internal/ws_hub.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
+#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -31,6 +32,7 @@
   kernel::Result<std::uint16_t> Listen(const std::string& address) override;
   void SetTargets(const std::vector<std::string>& addresses) override;
   std::vector<LinkPtr> Links() const override;
+  std::size_t QueuedBytes() const override;
   void Start() override;
   void Stop() override;
 
@@ -53,6 +55,8 @@
   void SetHandlers(Endpoint& endpoint,
                    const typename Endpoint::connection_ptr& connection,
                    const std::shared_ptr<LinkSession>& session);
+  /// Closes all links and accepts no further ones.
+  void CloseAll();
   void ScheduleTick();
   void Tick(kernel::TimePoint now);
   void ConnectDueTargets(kernel::TimePoint now);
@@ -72,6 +76,9 @@
   std::thread thread;
   mutable std::mutex mutex;
   std::vector<std::shared_ptr<LinkSession>> sessions;
+  bool is_stopping = false;
+  /// Notified when `sessions` becomes empty.
+  std::condition_variable all_closed;
   std::map<std::string, Target> targets;
   std::minstd_rand random{std::random_device{}()};
 };
--- a/src/peers/tests/peer_gossip_test.cc
+++ b/src/peers/tests/peer_gossip_test.cc
@@ -37,6 +37,7 @@
   }
   void SetTargets(const std::vector<std::string>& /*addresses*/) override {}
   std::vector<link::LinkPtr> Links() const override { return {}; }
+  std::size_t QueuedBytes() const override { return 0; }
   void Start() override {}
   void Stop() override {}
 };
