Let an agent's stop wait for the messages that it still has to send

An agent counted a response as finished when it had decided to send its end. Its stop could be over before the last messages were passed to their link, and the process exited without sending them. The entry then had a response without an end.

Besides, an agent without work exited at once. Requests that crossed the news of its stop got no response, so that work that had not run was reported as unknown. And the end of the stop followed the configuration in force: one with shorter deadlines that arrived during the stop ended it before its work.

AgentService decides about the stop, with the time as an argument. It waits for the messages being passed on and for those queued on links, refuses work for 300 ms in which entries learn of the stop, and waits for each piece of work until its own deadline.

--- a/src/agent/agent_module.cc
+++ b/src/agent/agent_module.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <stdexcept>
 
 #include "admin/i_status_board.h"
@@ -85,34 +84,16 @@
                      {{"listen", this->listen}});
   }
 
-  void Drain() override {
-    this->draining_since = kernel::Clock::now();
-    this->service->OnLeaving("stop requested", kernel::Clock::now());
-  }
+  void Drain() override { this->service->BeginStop(kernel::Clock::now()); }
 
   std::string Pending() override {
-    const std::size_t unfinished = this->service->UnfinishedCount();
-    if (unfinished == 0 || !this->draining_since) return "";
-    const bool overdue =
-        kernel::Clock::now() - *this->draining_since >= this->MaxDeadline();
-    return overdue ? ""
-                   : std::to_string(unfinished) +
-                         " responses not yet complete or not yet read";
+    return this->service->Pending(this->hub->QueuedBytes(),
+                                  kernel::Clock::now());
   }
 
   void Stop() override {}
 
  private:
-  kernel::Millis MaxDeadline() const {
-    std::int64_t max_deadline_ms = 0;
-    if (const config::ConfigPtr config = this->store->Current()) {
-      for (const auto& [name, profile] : config->profiles) {
-        max_deadline_ms = std::max(max_deadline_ms, profile.deadline_ms);
-      }
-    }
-    return kernel::Millis(max_deadline_ms);
-  }
-
   void OnInstances(const membership::InstanceList& list) {
     for (const membership::Instance& instance : list.instances) {
       const bool leaving =
@@ -160,7 +141,6 @@
   AgentIdentity identity;
   std::string failure_domain;
   std::string listen;
-  std::optional<kernel::TimePoint> draining_since;
   std::shared_ptr<http::IHttpRuntime> runtime;
   std::shared_ptr<config::IConfigStore> store;
   std::shared_ptr<membership::IMembership> membership;
--- a/src/agent/internal/agent_service.cc
+++ b/src/agent/internal/agent_service.cc
@@ -12,6 +12,9 @@
 constexpr kernel::Millis kBodyIdleTimeout{5'000};
 constexpr kernel::Millis kProbeTimeout{500};
 constexpr int kOk = 200;
+/// Time from the beginning of a stop in which entries learn of it. Work that
+/// they send meanwhile is refused, so that it is known not to have run.
+constexpr kernel::Millis kNoticeTime{300};
 
 }  // namespace
 
@@ -178,7 +181,33 @@
 
 std::size_t AgentService::UnfinishedCount() {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  return this->core->UnfinishedCount();
+  return this->CountUnfinished();
+}
+
+std::size_t AgentService::CountUnfinished() const {
+  return this->core->UnfinishedCount() + (this->is_performing ? 1 : 0);
+}
+
+void AgentService::BeginStop(kernel::TimePoint now) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->stop_began_at) this->stop_began_at = now;
+  }
+  this->OnLeaving("stop requested", now);
+}
+
+std::string AgentService::Pending(std::size_t queued_bytes,
+                                  kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (!this->stop_began_at) return "";
+  if (now - *this->stop_began_at < kNoticeTime)
+    return "entries that may not know of the stop";
+  if (const std::size_t unfinished = this->CountUnfinished())
+    return std::to_string(unfinished) +
+           " responses not yet complete or not yet read";
+  if (queued_bytes > 0)
+    return std::to_string(queued_bytes) + " bytes not yet sent";
+  return "";
 }
 
 void AgentService::Perform(AgentActions& actions) {
--- a/src/agent/internal/agent_service.h
+++ b/src/agent/internal/agent_service.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "agent/internal/agent_core.h"
@@ -34,12 +35,23 @@
   /// Updates the gauges.
   void PublishMetrics();
   link::Heartbeat State(kernel::TimePoint now);
+  /// Returns the number of responses that are not complete, not read or not
+  /// yet passed on to their links.
   std::size_t UnfinishedCount();
 
+  /// Begins a graceful stop, in which all new work is refused.
+  void BeginStop(kernel::TimePoint now);
+  /// Returns what a graceful stop still waits for, or "". Each piece of work
+  /// ends at its own deadline at the latest.
+  /// @param queued_bytes bytes of messages that wait to be sent.
+  std::string Pending(std::size_t queued_bytes, kernel::TimePoint now);
+
  private:
   class CallObserver;
   class ProbeObserver;
 
+  /// Implements UnfinishedCount; the mutex must be held.
+  std::size_t CountUnfinished() const;
   /// Calls `decision` on the core under the lock and queues the returned
   /// actions. Then performs the queued actions without the lock, unless another
   /// thread is already performing them.
@@ -62,6 +74,7 @@
   std::unique_ptr<AgentCore> core;
   AgentActions pending_actions;  ///< Actions not yet performed.
   bool is_performing = false;    ///< A thread is performing the actions.
+  std::optional<kernel::TimePoint> stop_began_at;
   std::string endpoint_address;
   std::string health_path;
   std::shared_ptr<http::IHttpRuntime> runtime;
