Take no response whose head names an unknown transfer coding

What callers saw: a response with Transfer-Encoding "gzip" or with a part of the word "chunked" came to the caller of a gateway as it was sent, chunk sizes included, and without the field; since such a response ends with its connection, a part of it counted as complete, too.

Cause: the parser reads a body whose coding it does not know to the end of the connection, and decodes only the chunks of "gzip, chunked".

Evidence: cut_response/in_an_unknown_coding_is_not_complete: on the code before, "gzip", "gzip, chunked", "chunked, gzip" and "chunk" were taken as complete (one run). The test drives HttpCall with the option that gateways use, not a gateway.

Fix: a response whose coding is not exactly "chunked" is a failed one; its request may have run. An empty field, which the test also has, was not tried on the code before.

--- a/src/http/internal/http_call.cc
+++ b/src/http/internal/http_call.cc
@@ -26,6 +26,13 @@
   return kernel::ErrorCode::kConnectionLost;
 }
 
+/// Returns whether the end of a body, and the body itself, can be found.
+/// @param head of a response that may have a body.
+bool HasKnownCoding(const beast::http::response_header<>& head) {
+  const auto coding = head.find(beast::http::field::transfer_encoding);
+  return coding == head.end() || beast::iequals(coding->value(), "chunked");
+}
+
 }  // namespace
 
 HttpCall::HttpCall(asio::io_context& io, std::shared_ptr<ConnectionCache> cache,
@@ -186,7 +193,11 @@
                                    yield[failure]);
     this->response_begun = this->response_begun || parser->got_some();
     const unsigned status = parser->get().result_int();
-    if (failure || status >= kFirstFinalStatus) return failure;
+    if (failure) return failure;
+    if (status >= kFirstFinalStatus) {
+      const bool is_readable = this->IsHead() || HasKnownCoding(parser->get());
+      return is_readable ? failure : beast::http::error::bad_transfer_encoding;
+    }
     // The request asks for no other protocol, so nothing may follow in one.
     if (status == kSwitchingProtocols) break;
   }
--- a/src/http/tests/cut_response_test.cc
+++ b/src/http/tests/cut_response_test.cc
@@ -297,4 +297,27 @@
   runtime->Stop();
 }
 
+// Guards against a coded body that is taken for the body itself.
+Test(cut_response, in_an_unknown_coding_is_not_complete, .timeout = 60) {
+  CuttingServer server;
+  const auto runtime = MakeHttpRuntime();
+  runtime->Start(1);
+  CallLimits limits;
+  limits.close_ends_response = true;
+  const std::pair<const char*, bool> codings[] = {
+      {"chunked", true}, {"Chunked", true},
+      {"gzip", false},   {"gzip, chunked", false},
+      {"chunk", false},  {"chunked, gzip", false},
+      {"", false}};
+  for (const auto& [coding, is_known] : codings) {
+    server.Prepare({std::string("HTTP/1.1 200 OK\r\ntransfer-encoding: ") +
+                    coding + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n"});
+    const auto call =
+        StartCall(*runtime, server.address(), "GET", "/cut", limits);
+    cr_expect_eq(call->AwaitEnd(), is_known, "%s: '%s'", coding,
+                 call->body.c_str());
+  }
+  runtime->Stop();
+}
+
 }  // namespace banyanlane::http
