--- a/src/http/tests/cut_response_test.cc
+++ b/src/http/tests/cut_response_test.cc
@@ -4,7 +4,6 @@
 #include <unistd.h>
 
 #include <condition_variable>
-#include <map>
 #include <mutex>
 
 #include "http/i_http_runtime.h"
--- a/src/link/tests/cut_handshake_test.cc
+++ b/src/link/tests/cut_handshake_test.cc
@@ -3,6 +3,9 @@
 
 #include <array>
 #include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
 
 #include "link/codec.h"
 #include "link/internal/link_security.h"
--- a/tests/processes/reader_cut_head_test.cc
+++ b/tests/processes/reader_cut_head_test.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdio>
 #include <future>
+#include <mutex>
 
 #include "config/internal/http_platform.h"
 #include "processes/cut_responses.h"
