Count acknowledged bytes only when a write is checked

Change: WriteDeadline asks the system at its checks, not when a write begins, which saves a system call for each write. The first check then counts as progress, so that a caller that takes nothing is cut off up to a fifth later.

--- a/src/http/internal/write_deadline.cc
+++ b/src/http/internal/write_deadline.cc
@@ -18,7 +18,6 @@
 void WriteDeadline::Begin(kernel::TimePoint now) {
   ++this->writes;
   this->is_writing = true;
-  this->acknowledged = this->Acknowledged();
   this->progressed_at = now;
   this->Schedule();
 }
