Keep the group of a stopping rank agent from being held

A rank agent exited at once on SIGTERM. A retention does not expire, and only the agent of the rank that holds the group can release it. If the leader's agent stopped between the order to hold and the release, or if another agent stopped while the ranks armed, the group stayed held until that agent was started again, and all its streams stalled.

A stopping agent now reports its group as not open, so that no leader begins or goes on to a switch. It stays for 300 ms in which leaders learn of it, and then for as long as a switch can depend on it: while its engine is armed or holds the group, or while a leader with a valid lease does more than let ranks prepare.

Responses of simulated engines no longer reach an agent that has ended.

--- a/src/experts/experts_module.cc
+++ b/src/experts/experts_module.cc
@@ -74,6 +74,8 @@
     kernel::LogEvent(kernel::EventId::kProcessReady, {});
   }
 
+  void Drain() override { this->service->BeginStop(); }
+  std::string Pending() override { return this->service->Pending(); }
   void Stop() override {}
 
  private:
--- a/src/experts/internal/rank_agent.cc
+++ b/src/experts/internal/rank_agent.cc
@@ -204,10 +204,18 @@
                    std::max(this->command->fencing_token, kMinTokenIncrease));
 }
 
+bool RankAgent::HasUnfinishedSwitch() const {
+  return this->report && (this->report->armed || this->report->held_step);
+}
+
+bool RankAgent::IsNeededForSwitch(kernel::TimePoint now) const {
+  if (this->HasUnfinishedSwitch()) return true;
+  return this->command && !this->IsLeaseExpired(now) &&
+         this->command->goal != SwitchGoal::kPrepare;
+}
+
 bool RankAgent::HasActiveGoal(kernel::TimePoint now) const {
-  const bool has_unfinished_switch =
-      this->report && (this->report->armed || this->report->held_step);
-  if (has_unfinished_switch) return true;
+  if (this->HasUnfinishedSwitch()) return true;
   return this->command && !this->IsLeaseExpired(now) &&
          this->command->goal != SwitchGoal::kFollow;
 }
@@ -220,7 +228,8 @@
   status.epoch = reported.epoch;
   status.rank = reported.rank;
   status.size = reported.size;
-  status.open = reported.open;
+  status.open =
+      reported.open && (!this->is_stopping || this->HasUnfinishedSwitch());
   status.step = reported.step;
   status.map_version = reported.map_version;
   status.prepared_version = reported.prepared_version.value_or(0);
--- a/src/experts/internal/rank_agent.h
+++ b/src/experts/internal/rank_agent.h
@@ -62,6 +62,14 @@
   std::optional<FencedOrder> NextOrder(kernel::TimePoint now);
   void OnOrderOutcome(OrderOutcome outcome, kernel::TimePoint now);
 
+  /// Begins to leave the group: statuses report it as not open, so that leaders
+  /// begin no further switch, unless the engine has an unfinished one.
+  void BeginStop() { this->is_stopping = true; }
+  /// Returns whether a switch may depend on this agent: the engine is armed or
+  /// holds the group, or a leader whose lease is valid does more than to let
+  /// ranks prepare.
+  bool IsNeededForSwitch(kernel::TimePoint now) const;
+
   /// Returns the status to send to the leader, or nothing before the first
   /// report.
   std::optional<link::RankStatus> Status(kernel::TimePoint now) const;
@@ -81,6 +89,8 @@
   };
 
   bool IsLeaseExpired(kernel::TimePoint now) const;
+  /// Returns whether the engine is armed or holds the group.
+  bool HasUnfinishedSwitch() const;
   /// Keeps the map of an accepted command, if it has one. Commands that are
   /// repeated have none.
   void KeepMap(const link::SwitchCommand& accepted);
@@ -113,6 +123,7 @@
   std::uint64_t refused_version = 0;
   /// Version of the last order if it was a PrepareOrder, or 0.
   std::uint64_t pending_prepare_version = 0;
+  bool is_stopping = false;
 };
 
 }  // namespace banyanlane::experts
--- a/src/experts/internal/rank_engine_controller.cc
+++ b/src/experts/internal/rank_engine_controller.cc
@@ -36,6 +36,16 @@
   this->next_report_at = std::min(this->next_report_at, now);
 }
 
+void RankEngineController::BeginStop() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->agent.BeginStop();
+}
+
+bool RankEngineController::IsNeededForSwitch(kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->agent.IsNeededForSwitch(now);
+}
+
 std::optional<link::RankStatus> RankEngineController::Status(
     kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
--- a/src/experts/internal/rank_engine_controller.h
+++ b/src/experts/internal/rank_engine_controller.h
@@ -40,6 +40,11 @@
   /// Polls the engine at the next tick.
   void PollSoon(kernel::TimePoint now);
 
+  /// Begins to leave the group, see RankAgent::BeginStop.
+  void BeginStop();
+  /// See RankAgent::IsNeededForSwitch.
+  bool IsNeededForSwitch(kernel::TimePoint now);
+
   std::optional<link::RankStatus> Status(kernel::TimePoint now);
   std::optional<RankReport> Report();
 
--- a/src/experts/internal/rank_service.cc
+++ b/src/experts/internal/rank_service.cc
@@ -10,6 +10,13 @@
 
 using kernel::EventId;
 
+/// Time from the beginning of a stop in which leaders learn of it. A leader
+/// that has not can go on from preparing to holding the group.
+constexpr kernel::Millis kNoticeTime{300};
+/// Maximum duration of a stop, in which the longest switch is abandoned or
+/// completed.
+constexpr kernel::Millis kMaxStopTime{6'500};
+
 bool HasSameState(const link::RankStatus& left, const link::RankStatus& right) {
   return left.epoch == right.epoch && left.open == right.open &&
          left.map_version == right.map_version &&
@@ -145,6 +152,29 @@
   if (must_publish) this->Publish(is_leader, engine_report);
 }
 
+void RankService::BeginStop() {
+  const auto now = this->clock();
+  Outbox outbox;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->stop_began_at) this->stop_began_at = now;
+    this->controller->BeginStop();
+    this->SendStatus(outbox, now);
+  }
+  SendAll(outbox);
+}
+
+std::string RankService::Pending() {
+  const auto now = this->clock();
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (!this->stop_began_at) return "";
+  const auto elapsed = now - *this->stop_began_at;
+  if (elapsed >= kMaxStopTime) return "";
+  if (elapsed < kNoticeTime) return "leaders that may not know of the stop";
+  return this->controller->IsNeededForSwitch(now) ? "a switch of the expert map"
+                                                  : "";
+}
+
 void RankService::Publish(bool is_leader, const RankReport& engine) {
   peers::LocalState state;
   state.ready = true;
--- a/src/experts/internal/rank_service.h
+++ b/src/experts/internal/rank_service.h
@@ -66,6 +66,12 @@
   /// Polls the engine, updates the leadership, and sends what is due.
   void OnTick(kernel::TimePoint now);
 
+  /// Begins a graceful stop: no switch begins any more that needs this agent.
+  void BeginStop();
+  /// Returns what a graceful stop still waits for, or "". A group whose agent
+  /// ends in the middle of a switch stays held.
+  std::string Pending();
+
  private:
   /// A message to send after the mutex has been released.
   struct OutgoingMessage {
@@ -103,6 +109,7 @@
   std::shared_ptr<kernel::Metrics> metrics;
   kernel::BootClock clock;
   std::shared_ptr<RankEngineController> controller;
+  std::optional<kernel::TimePoint> stop_began_at;
   std::mutex mutex;  ///< Protects all members below.
   GroupLeader leader;
   std::vector<link::LinkPtr> links;  ///< Links to other rank agents.
--- a/src/experts/tests/simulated_group.cc
+++ b/src/experts/tests/simulated_group.cc
@@ -51,7 +51,7 @@
     report.prepared_version = this->prepared_version;
     report.armed = this->armed;
     report.held_step = this->held_step;
-    this->group.Schedule(kEngineDelay, [receive, report] { receive(report); });
+    this->Respond([receive, report] { receive(report); });
   }
 
   void ReadCounts(
@@ -60,7 +60,7 @@
     counts.epoch = 1;
     for (const double count : this->selections)
       counts.counts.push_back(static_cast<std::uint64_t>(count));
-    this->group.Schedule(kEngineDelay, [receive, counts] { receive(counts); });
+    this->Respond([receive, counts] { receive(counts); });
   }
 
   void ReadExperts(
@@ -70,16 +70,14 @@
     experts.version = this->map_version;
     for (const LayerExperts& layer : this->map)
       experts.experts.push_back(layer[this->rank]);
-    this->group.Schedule(kEngineDelay,
-                         [receive, experts] { receive(experts); });
+    this->Respond([receive, experts] { receive(experts); });
   }
 
   void Order(const RankOrder& order, std::uint64_t /*epoch*/,
              std::uint64_t token, Millis /*timeout*/,
              std::function<void(OrderOutcome)> receive) override {
     const OrderOutcome outcome = this->Apply(order, token);
-    this->group.Schedule(kEngineDelay,
-                         [receive, outcome] { receive(outcome); });
+    this->Respond([receive, outcome] { receive(outcome); });
   }
 
   bool Holds(std::uint64_t step) const {
@@ -106,6 +104,16 @@
  private:
   using LayerExperts = std::vector<std::vector<std::uint64_t>>;
 
+  /// Sends a response, which is lost if the agent ends before.
+  void Respond(std::function<void()> deliver) {
+    const std::uint64_t incarnation = this->group.nodes[this->rank].incarnation;
+    this->group.Schedule(
+        kEngineDelay, [this, incarnation, deliver = std::move(deliver)] {
+          if (this->group.nodes[this->rank].incarnation == incarnation)
+            deliver();
+        });
+  }
+
   void FinishCopy() {
     if (this->copying_version == 0 || this->group.now < this->copied_at) return;
     this->prepared_version = this->copying_version;
@@ -271,6 +279,26 @@
 }
 
 void SimulatedGroup::RestartAgent(std::size_t rank) {
+  this->CloseLinks(rank);
+  this->Start(rank);
+}
+
+void SimulatedGroup::StopAgent(std::size_t rank) {
+  this->nodes[rank].is_stopping = true;
+  this->nodes[rank].service->BeginStop();
+  this->EndIfStopped(rank);
+}
+
+bool SimulatedGroup::EndIfStopped(std::size_t rank) {
+  Node& node = this->nodes[rank];
+  if (!node.is_stopping || !node.service->Pending().empty()) return false;
+  node.has_ended = true;
+  ++node.incarnation;
+  this->CloseLinks(rank);
+  return true;
+}
+
+void SimulatedGroup::CloseLinks(std::size_t rank) {
   this->SetTargets(rank, {});
   for (const auto& [peer, link] : this->nodes[rank].links) {
     Node& other = this->nodes[peer];
@@ -281,7 +309,6 @@
     other.targets.erase(rank);
   }
   this->nodes[rank].links.clear();
-  this->Start(rank);
 }
 
 void SimulatedGroup::Schedule(Millis delay, std::function<void()> run) {
@@ -303,6 +330,7 @@
 void SimulatedGroup::Tick(std::size_t rank, std::uint64_t incarnation) {
   Node& node = this->nodes[rank];
   if (node.incarnation != incarnation) return;
+  if (this->EndIfStopped(rank)) return;
   node.service->OnTick(this->now);
   this->Schedule(kTickPeriod,
                  [this, rank, incarnation] { this->Tick(rank, incarnation); });
--- a/src/experts/tests/simulated_group.h
+++ b/src/experts/tests/simulated_group.h
@@ -44,6 +44,12 @@
   /// Restarts the agent of one rank. Its engine continues.
   void RestartAgent(std::size_t rank);
 
+  /// Stops the agent of one rank gracefully. Its engine continues.
+  void StopAgent(std::size_t rank);
+  /// Returns whether the agent of a rank that was stopped has ended.
+  bool HasEnded(std::size_t rank) const { return this->nodes[rank].has_ended; }
+  std::uint64_t StepCount() const { return this->step; }
+
   /// Returns the largest number of bytes that one machine has sent or received
   /// within one second.
   std::size_t MaxBytesInOneSecond() const { return this->max_bytes; }
@@ -77,10 +83,17 @@
     Traffic out;
     Traffic in;
     std::uint64_t incarnation = 0;
+    bool is_stopping = false;
+    bool has_ended = false;
   };
 
   void Schedule(kernel::Millis delay, std::function<void()> run);
   void Start(std::size_t rank);
+  /// Closes the links of an agent whose process ends.
+  void CloseLinks(std::size_t rank);
+  /// Ends the agent of a rank if its stop is over.
+  /// @return whether it has ended.
+  bool EndIfStopped(std::size_t rank);
   void Tick(std::size_t rank, std::uint64_t incarnation);
   void BeginStep();
   void SetTargets(std::size_t from, const std::vector<std::string>& addresses);
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -386,8 +386,10 @@
   std::uint64_t epoch = 0;  ///< Grows each time that the group forms.
   std::uint64_t rank = 0;
   std::uint64_t size = 0;  ///< Number of ranks in the group.
-  bool open = false;       ///< Whether the engine reports the group as "open".
-  std::uint64_t step = 0;  ///< Last step that has begun.
+  /// Whether the engine reports the group as "open" and the agent does not
+  /// leave it.
+  bool open = false;
+  std::uint64_t step = 0;         ///< Last step that has begun.
   std::uint64_t map_version = 0;  ///< Version of the expert map in use.
   /// Version of the map whose weights the rank has copied completely, or 0.
   std::uint64_t prepared_version = 0;
