Cut streams of a lost agent in time, not at their deadlines

When an agent's process was gone, callers of its streams waited until their deadlines, although an entry waits only 3 s for a link to come back. The flow's timer moved to that moment, but the coroutine of the caller slept until the time at which the timer had been due before, and nothing woke it.

FlowRunner now wakes the caller's coroutine whenever the timer moves to an earlier time.

--- a/src/entry/internal/flow_runner.cc
+++ b/src/entry/internal/flow_runner.cc
@@ -10,8 +10,9 @@
       send(std::move(send)),
       notifier(std::move(notifier)) {}
 
-void FlowRunner::QueueActions(FlowActions actions) {
-  bool notify_caller = false;
+void FlowRunner::QueueActions(FlowActions actions,
+                              kernel::TimePoint timer_before) {
+  bool notify_caller = this->flow->NextTimer() < timer_before;
   for (FlowAction& action : actions) {
     if (auto* to_agent = std::get_if<SendToAgent>(&action)) {
       this->send_queue.push_back(std::move(*to_agent));
--- a/src/entry/internal/flow_runner.h
+++ b/src/entry/internal/flow_runner.h
@@ -30,7 +30,8 @@
   void Dispatch(Handler handler) {
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
-      this->QueueActions(handler(*this->flow));
+      const kernel::TimePoint timer_before = this->flow->NextTimer();
+      this->QueueActions(handler(*this->flow), timer_before);
       if (this->sending) return;
       this->sending = true;
     }
@@ -47,7 +48,9 @@
   const CallerRequest& request() const { return this->flow->request(); }
 
  private:
-  void QueueActions(FlowActions actions);
+  /// @param timer_before time at which the flow's timer was due before it
+  /// returned `actions`. The caller's coroutine waits until then.
+  void QueueActions(FlowActions actions, kernel::TimePoint timer_before);
   void SendQueued();
 
   std::mutex mutex;
