Answer the requests behind another one when a stop closes the connection

What callers saw: of three requests sent on one connection without waiting, with SIGTERM while the first runs, the first was answered and the connection closed. The gateway had received the other two with the first; they were not passed on, and had no answer over 0.2 s after they were sent.

Cause: the response to a request that is answered during a stop closes the connection, whatever has been received behind the request.

Evidence: gateway_stop_end/answers_the_requests_received_behind_another_one, a real gateway before a sound server with work of 0.6 s.

Why this works: CloseAfterResponse closes once nothing more has been received. Further requests go through the same acceptance as others, and the response to the last one says that the connection closes. A connection ends with the stop at the latest, which waits 0.3 s for its last answers.

Requests that arrive after the response has said that the connection closes still get no answer; they have not been passed on.

--- a/src/http/i_http_handler.h
+++ b/src/http/i_http_handler.h
@@ -37,8 +37,9 @@
   /// caller disconnects.
   virtual WakeReason Wait(kernel::TimePoint until) = 0;
 
-  /// Closes the connection after this response. Must be called before the
-  /// response begins.
+  /// Closes the connection after this response, or, if further requests have
+  /// been received before it begins, after the responses to those. Must be
+  /// called before the response begins, and again for the further requests.
   virtual void CloseAfterResponse() = 0;
 
   /// Sends a complete response.
--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -298,9 +298,11 @@
   }
   HttpExchange exchange(this->stream, this->buffer, this->strand, yield,
                         std::move(request), limits, parser.get().keep_alive());
+  if (!this->server->IsAccepting()) exchange.CloseAfterResponse();
   this->server->Handle(exchange);
   this->stream.expires_never();
-  return exchange.CanContinue() && this->server->IsAccepting();
+  const bool has_next = this->buffer.size() > 0;
+  return exchange.CanContinue() && (this->server->IsAccepting() || has_next);
 }
 
 }  // namespace banyanlane::http
--- a/src/http/internal/http_exchange.cc
+++ b/src/http/internal/http_exchange.cc
@@ -96,7 +96,13 @@
   }
 }
 
+void HttpExchange::DecideClose() {
+  const bool is_idle = this->buffer.size() == 0;
+  if (this->closes_when_idle && is_idle) this->keep_alive = false;
+}
+
 void HttpExchange::Reply(const HttpResponse& response) {
+  this->DecideClose();
   beast::http::response<beast::http::string_body> message;
   message.version(kHttpVersion);
   message.result(static_cast<unsigned>(response.status));
@@ -121,6 +127,7 @@
 }
 
 bool HttpExchange::BeginStream(int status, const Headers& headers) {
+  this->DecideClose();
   beast::http::response<beast::http::empty_body> message;
   message.version(kHttpVersion);
   message.result(static_cast<unsigned>(status));
--- a/src/http/internal/http_exchange.h
+++ b/src/http/internal/http_exchange.h
@@ -57,7 +57,7 @@
   HttpRequest TakeRequest() override { return std::move(this->received); }
   std::shared_ptr<INotifier> notifier() override { return this->signal; }
   WakeReason Wait(kernel::TimePoint until) override;
-  void CloseAfterResponse() override { this->keep_alive = false; }
+  void CloseAfterResponse() override { this->closes_when_idle = true; }
   void Reply(const HttpResponse& response) override;
   bool BeginStream(int status, const Headers& headers) override;
   bool WriteChunk(std::string_view data) override;
@@ -71,6 +71,8 @@
 
  private:
   void SetFields(beast::http::fields& fields, const Headers& headers) const;
+  /// Decides whether the connection closes after the response that begins.
+  void DecideClose();
 
   StrandStream& stream;
   beast::flat_buffer& buffer;
@@ -80,6 +82,7 @@
   ServerLimits limits;
   std::shared_ptr<ExchangeSignal> signal;
   bool keep_alive;
+  bool closes_when_idle = false;  ///< Whether CloseAfterResponse was called.
   bool watching = false;
   bool ended = false;
   bool failed = false;
--- a/tests/processes/gateway_stop_end_test.cc
+++ b/tests/processes/gateway_stop_end_test.cc
@@ -9,6 +9,7 @@
 namespace banyanlane::processes {
 namespace {
 
+constexpr int kOk = 200;
 constexpr int kPaceMillis = 10;
 /// Work that lasts longer than a stop.
 constexpr int kLongWorkMillis = 9'000;
@@ -102,4 +103,25 @@
   cr_expect(lost.empty(), "%zu of %zu lost", lost.size(), records.size());
 }
 
+// Guards against requests that were received behind another one on the same
+// connection, and are dropped when a stop closes it.
+Test(gateway_stop_end, answers_the_requests_received_behind_another_one) {
+  GatewayFleet fleet;
+  fleet.StartAll({}, {});
+  WorkServer server(fleet.AddOwnServer("s1"));
+  fleet.AddGateway("g1");
+  cr_assert(fleet.AwaitServed("g1", "/plain/0"));
+  KeptCaller caller(fleet.Address("g1"));
+  const std::string fields = "x-deadline-ms: 5000\r\n";
+  std::string requests;
+  for (const char* id : {"p1", "p2", "p3"})
+    requests += MakeRequest("/plain/a/600", id, fields, "");
+  caller.Send(requests);
+  const auto sent_at = kernel::Clock::now();
+  cr_assert(Fleet::Await([&] { return server.WorkedUntil("p1").has_value(); }));
+  fleet.Signal("g1", SIGTERM);
+  for (const char* id : {"p1", "p2", "p3"})
+    cr_expect_eq(caller.Receive(id, sent_at).status, kOk, "%s", id);
+}
+
 }  // namespace banyanlane::processes
