Let a stop wait for requests that still arrive

What callers saw: a request whose body arrived slowly lost its connection when the gateway stopped, 3 s after SIGTERM, though the grace period had 5 s left. The request had not been passed on.

Cause: a stop counted only requests that had been received whole. Once callers had had the time to leave and none of these was left, the process exited in the middle of the others.

Evidence: gateway_stop_end/waits_for_the_rest_of_a_request sends SIGTERM while the last byte of a body is missing, and that byte 4.5 s later.

Why this works: a stop also waits for busy connections, on which a request arrives or is answered, until it closes 0.7 s before the end of the grace period, and then up to 0.3 s for their answers. A request that arrives by then is accepted or refused by the same rule as others.

A request that is still incomplete when the stop closes gets no answer.

--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -88,7 +88,8 @@
     this->service->Drain(requested_at, kernel::BootNow());
   }
   std::string Pending() override {
-    std::string pending = this->service->Pending(kernel::BootNow());
+    std::string pending = this->service->Pending(
+        this->server->BusyConnections(), kernel::BootNow());
     if (this->service->IsClosing()) this->server->StopAccepting();
     return pending;
   }
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -362,8 +362,9 @@
   this->Publish(kernel::Clock::now());
 }
 
-std::string DirectService::Pending(kernel::TimePoint now) {
-  std::string pending = this->stop.Pending(now);
+std::string DirectService::Pending(std::size_t busy_connections,
+                                   kernel::TimePoint now) {
+  std::string pending = this->stop.Pending(busy_connections, now);
   if (this->stop.IsClosing()) this->EndRequests(kernel::Clock::now());
   return pending;
 }
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -70,8 +70,10 @@
   void Drain(kernel::TimePoint requested_at, kernel::TimePoint now);
   /// Returns what the stop waits for, or "" when it is over. Answers the
   /// requests that are left when the stop closes.
+  /// @param busy_connections number of connections on which requests of callers
+  /// arrive or are answered.
   /// @param now present time of kernel::BootNow.
-  std::string Pending(kernel::TimePoint now);
+  std::string Pending(std::size_t busy_connections, kernel::TimePoint now);
   /// Returns whether a stop has reached its last phase.
   bool IsClosing() const { return this->stop.IsClosing(); }
 
--- a/src/direct/internal/graceful_stop.cc
+++ b/src/direct/internal/graceful_stop.cc
@@ -1,5 +1,7 @@
 #include "direct/internal/graceful_stop.h"
 
+#include <algorithm>
+
 namespace banyanlane::direct {
 namespace {
 
@@ -55,18 +57,22 @@
   --this->accepted;
 }
 
-std::string GracefulStop::Pending(kernel::TimePoint now) {
+std::string GracefulStop::Pending(std::size_t busy_connections,
+                                  kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   if (!this->requested_at) return "";
   if (!this->closing_since && now - *this->requested_at < this->duration) {
     if (this->accepted > 0)
       return std::to_string(this->accepted) + " requests in flight";
+    if (busy_connections > 0)
+      return std::to_string(busy_connections) + " busy connections";
     if (now - this->began_at < this->address_use)
       return "callers that keep this address";
   }
   if (!this->closing_since) this->closing_since = now;
-  if (this->accepted > 0 && now - *this->closing_since < kClosingTime)
-    return std::to_string(this->accepted) + " last answers";
+  const std::size_t unanswered = std::max(this->accepted, busy_connections);
+  if (unanswered > 0 && now - *this->closing_since < kClosingTime)
+    return std::to_string(unanswered) + " last answers";
   return "";
 }
 
--- a/src/direct/internal/graceful_stop.h
+++ b/src/direct/internal/graceful_stop.h
@@ -38,7 +38,9 @@
   void OnEnded();
 
   /// Returns what the stop waits for. When it returns "", the stop is over.
-  std::string Pending(kernel::TimePoint now);
+  /// @param busy_connections number of connections on which requests arrive or
+  /// are answered.
+  std::string Pending(std::size_t busy_connections, kernel::TimePoint now);
   /// Returns whether Pending has found that the time is up or that nothing is
   /// left to wait for. No request is accepted any more.
   bool IsClosing() const;
--- a/tests/processes/gateway_stop_end_test.cc
+++ b/tests/processes/gateway_stop_end_test.cc
@@ -11,6 +11,8 @@
 
 constexpr int kOk = 200;
 constexpr int kPaceMillis = 10;
+/// Longer than a stop lasts when it waits for callers alone.
+constexpr kernel::Millis kUploadTime{4'500};
 /// Work that lasts longer than a stop.
 constexpr int kLongWorkMillis = 9'000;
 /// More callers than the server runs requests at once.
@@ -124,4 +126,25 @@
     cr_expect_eq(caller.Receive(id, sent_at).status, kOk, "%s", id);
 }
 
+// Guards against a stop that ends while a request still arrives.
+Test(gateway_stop_end, waits_for_the_rest_of_a_request) {
+  GatewayFleet fleet;
+  fleet.StartAll({}, {});
+  WorkServer server(fleet.AddOwnServer("s1"));
+  fleet.AddGateway("g1");
+  cr_assert(fleet.AwaitServed("g1", "/plain/0"));
+  KeptCaller caller(fleet.Address("g1"));
+  const std::string request = MakeRequest(
+      "/plain/a/0", "slow", "x-deadline-ms: 1000\r\n", std::string(100, 'x'));
+  caller.Send(request.substr(0, request.size() - 1));
+  PlannedStop stop;
+  stop.signalled_at = kernel::Clock::now();
+  fleet.Signal("g1", SIGTERM);
+  while (fleet.IsRunning("g1") &&
+         kernel::Clock::now() < stop.signalled_at + kUploadTime)
+    poll(nullptr, 0, kPaceMillis);
+  caller.Send(request.substr(request.size() - 1));
+  cr_expect_eq(caller.Receive("slow", kernel::Clock::now()).status, kOk);
+}
+
 }  // namespace banyanlane::processes
