Serve requests without a time limit, in calm and in a stop

What callers saw: a request without X-Deadline-Ms on a route without a time limit got 504 at once, and no server had it.

Cause: with neither limit the deadline was 0 ms after the arrival.

Evidence: gateway_no_limit/serves_requests_without_a_time_limit, a real gateway before a sound server with work of 0.1 s, callers until the process is gone after SIGTERM.

Why this works: such requests get a deadline of 60 s, since a server is always to be told one.

--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -21,6 +21,9 @@
 /// Time in milliseconds after which callers may retry when this gateway has no
 /// free connection or memory. Another gateway may have capacity immediately.
 constexpr std::int64_t kOverloadRetryMillis = 250;
+/// Deadline in milliseconds of requests that neither the caller nor the profile
+/// limits, since endpoints are always told one.
+constexpr std::int64_t kUnlimitedDeadlineMillis = 60'000;
 /// If fewer gateways than this are ready in the caller's failure domain,
 /// callers are given those of other domains as well, so that one of them can
 /// fail.
@@ -169,8 +172,9 @@
     direct_request.work_keys.push_back("part:" + part);
   direct_request.work_keys.push_back(
       RequestKey(request, host, direct_request.organisation));
+  const std::int64_t bound = direct_request.profile->deadline_ms;
   direct_request.deadline_ms =
-      head.deadline_ms.value_or(direct_request.profile->deadline_ms);
+      head.deadline_ms.value_or(bound > 0 ? bound : kUnlimitedDeadlineMillis);
   if (!this->stop.TryAccept(direct_request.TimeLimit(), now))
     return Rejection{kUnavailable, "leaving", 0};
   direct_request.message = std::move(request);
