--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -302,12 +302,14 @@
   if (refusal) return this->SendRefusal(*refusal, request, limits, yield);
   HttpExchange exchange(this->stream, this->buffer, this->strand, yield,
                         std::move(request), limits, parser.get().keep_alive());
+  if (!this->server->IsAccepting()) exchange.CloseAfterResponse();
   this->server->Handle(exchange);
   this->stream.expires_never();
   if (!exchange.IsComplete()) return NextStep::kClose;
-  return exchange.CanContinue() && this->server->IsAccepting()
-             ? NextStep::kAwaitRequest
-             : NextStep::kFinish;
+  const bool has_next = this->buffer.size() > 0;
+  const bool goes_on =
+      exchange.CanContinue() && (this->server->IsAccepting() || has_next);
+  return goes_on ? NextStep::kAwaitRequest : NextStep::kFinish;
 }
 
 }  // namespace banyanlane::http
--- a/src/http/internal/http_exchange.cc
+++ b/src/http/internal/http_exchange.cc
@@ -126,7 +126,13 @@
                           this->yield[failure]));
 }
 
+void HttpExchange::DecideClose() {
+  const bool is_idle = this->buffer.size() == 0;
+  if (this->closes_when_idle && is_idle) this->keep_alive = false;
+}
+
 void HttpExchange::Reply(const HttpResponse& response) {
+  this->DecideClose();
   beast::http::response<beast::http::span_body<const char>> message;
   message.version(kHttpVersion);
   message.result(static_cast<unsigned>(response.status));
@@ -153,6 +159,7 @@
 }
 
 bool HttpExchange::BeginStream(int status, const Headers& headers) {
+  this->DecideClose();
   beast::http::response<beast::http::empty_body> message;
   message.version(kHttpVersion);
   message.result(static_cast<unsigned>(status));
--- a/src/http/internal/http_exchange.h
+++ b/src/http/internal/http_exchange.h
@@ -58,7 +58,7 @@
   HttpRequest TakeRequest() override { return std::move(this->received); }
   std::shared_ptr<INotifier> notifier() override { return this->signal; }
   WakeReason Wait(kernel::TimePoint until) override;
-  void CloseAfterResponse() override { this->keep_alive = false; }
+  void CloseAfterResponse() override { this->closes_when_idle = true; }
   void Reply(const HttpResponse& response) override;
   bool BeginStream(int status, const Headers& headers) override;
   bool WriteChunk(std::string_view data) override;
@@ -80,6 +80,8 @@
   /// Writes all of `buffers`.
   template <typename Buffers>
   void WriteBuffers(const Buffers& buffers, beast::error_code& failure);
+  /// Decides whether the connection closes after the response that begins.
+  void DecideClose();
 
   StrandStream& stream;
   beast::flat_buffer& buffer;
@@ -89,6 +91,7 @@
   std::shared_ptr<WriteDeadline> write_deadline;
   std::shared_ptr<ExchangeSignal> signal;
   bool keep_alive;
+  bool closes_when_idle = false;  ///< Whether CloseAfterResponse was called.
   bool watching = false;
   bool ended = false;
   bool failed = false;
