--- a/tests/processes/process_test.cc
+++ b/tests/processes/process_test.cc
@@ -210,9 +210,9 @@
   fleet.Signal("e1", SIGTERM);
   // While it stops, the entry serves callers that still use its address,
   // through the other agent.
-  cr_assert_eq(
-      fleet.SendRequest("e1", Fleet::ChatRequest("kept", 1, false)).status,
-      200);
+  const auto kept =
+      fleet.SendRequest("e1", Fleet::ChatRequest("kept", 1, false));
+  cr_assert_eq(kept.status, 200, "%d %s", kept.status, kept.body.c_str());
   cr_assert_eq(fleet.WaitForExit("e1"), 0);
   cr_assert_eq(fleet.WaitForExit(agent), 0);
   cr_assert(Fleet::Await([&] { return response->finished(); }));
@@ -302,7 +302,8 @@
   const auto streamed =
       fleet.StartRequest("e1", Fleet::ChatRequest("CUT", 40, true));
   cr_assert(Fleet::Await([&] { return streamed->finished(); }));
-  cr_assert_not(streamed->complete());
+  cr_assert_not(streamed->complete(), "%d %s", streamed->status(),
+                streamed->text().c_str());
   cr_assert_neq(streamed->text().find("event: error"), std::string::npos);
   const auto non_streaming =
       fleet.SendRequest("e1", Fleet::ChatRequest("CUT", 40, false));
