--- a/src/experts/experts_module.cc
+++ b/src/experts/experts_module.cc
@@ -74,7 +74,9 @@
     kernel::LogEvent(kernel::EventId::kProcessReady, {});
   }
 
-  void Drain() override { this->service->BeginStop(); }
+  void Drain(kernel::TimePoint /*requested_at*/) override {
+    this->service->BeginStop();
+  }
   std::string Pending() override { return this->service->Pending(); }
   void Stop() override {}
 
