--- a/tests/processes/stop_traffic.cc
+++ b/tests/processes/stop_traffic.cc
@@ -5,9 +5,8 @@
 namespace banyanlane::processes {
 namespace {
 
-/// Time that a request which no server ran may remain without an answer. It is
-/// longer than a busy machine takes to end a process.
-constexpr kernel::Millis kLossSlack{1'000};
+/// Time that a request which no server ran may remain without an answer.
+constexpr kernel::Millis kLossSlack{200};
 /// Requests sent until then may last longer than the stop.
 constexpr kernel::Millis kNoticeTime{3'000};
 /// The last part of the grace period in which a server may still be at work on
