Let settings change at the moment of a stop in the soak

Cause: a reload that met a stop was rare in the plan, though the two come together when operators change an instance. Change: in three of ten stops a changed settings file and SIGHUP follow SIGTERM.

--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -12,6 +12,8 @@
 /// Time after the run in which the last requests end.
 constexpr kernel::Millis kMaxTail{20'000};
 constexpr std::size_t kMaxLogLines = 200;
+/// Share of the stops in which the settings change at the same time.
+constexpr double kReloadShare = 0.3;
 
 }  // namespace
 
@@ -152,6 +154,9 @@
                             began_at);
   this->fleet.Signal(gateway, SIGTERM);
   ++this->report.stops;
+  const bool reloads = this->options.plan.reloads &&
+                       std::bernoulli_distribution(kReloadShare)(this->random);
+  if (reloads) this->Reload(gateway);
   while (this->fleet.IsRunning(gateway)) {
     this->Pause(kPollInterval, yield);
     const bool is_late =
