Say in the log why a gateway cuts a response, and what a stop leaves

Change: answer_cut names the reason and whether the process is stopping, the counter banyanlane_cut_responses_total has both as labels, and stop_closing gives the number of requests that are left when a stop closes. Evidence: the reason is checked in silent_stream/*; the check fails to build on the code before, which has no reason. silent_stream/*, docs/* and gateway_stop_end/* pass.

--- a/src/direct/internal/direct_actions.h
+++ b/src/direct/internal/direct_actions.h
@@ -93,7 +93,9 @@
 struct SendStreamEnd {};
 
 /// Aborts a response, so that the caller can't mistake it for a complete one.
-struct AbortResponse {};
+struct AbortResponse {
+  std::string reason;
+};
 
 /// Sends a refusal of the gateway itself to the caller.
 struct SendRefusal {
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -324,7 +324,7 @@
   if (this->head_sent) {
     // The caller has received a part of the stream, which no other response can
     // continue.
-    this->actions.push_back(AbortResponse{});
+    this->actions.push_back(AbortResponse{std::string(reason)});
     this->Finish(reason);
     return;
   }
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -288,9 +288,8 @@
       exchange.EndStream();
       return false;
     }
-    if (std::holds_alternative<AbortResponse>(action)) {
-      kernel::LogEvent(kernel::EventId::kAnswerCut,
-                       {{"request", runner.direct_request().request_id}});
+    if (const auto* cut = std::get_if<AbortResponse>(&action)) {
+      this->RecordCut(*cut, runner.direct_request().request_id);
       exchange.Abort();
       return false;
     }
@@ -374,7 +373,21 @@
   return pending;
 }
 
+void DirectService::RecordCut(const AbortResponse& cut,
+                              const std::string& request_id) {
+  const std::string stopping = this->stop.HasBegun() ? "yes" : "no";
+  this->metrics->Count("banyanlane_cut_responses_total{reason=\"" + cut.reason +
+                       "\",stopping=\"" + stopping + "\"}");
+  kernel::LogEvent(kernel::EventId::kAnswerCut, {{"request", request_id},
+                                                 {"reason", cut.reason},
+                                                 {"stopping", stopping}});
+}
+
 void DirectService::EndRequests(kernel::TimePoint now) {
+  if (!this->has_closed.exchange(true)) {
+    kernel::LogEvent(kernel::EventId::kStopClosing,
+                     {{"left", std::to_string(this->InFlight())}});
+  }
   for (const auto& runner : this->runners.Values()) {
     runner->UpdateFlow([now](DirectFlow& flow) { return flow.OnStopEnd(now); });
   }
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -109,6 +109,7 @@
   /// Sends queued requests of `service` while it has capacity.
   void SendQueued(const std::string& service, kernel::TimePoint now);
   std::shared_ptr<const RouteTable> Routes();
+  void RecordCut(const AbortResponse& cut, const std::string& request_id);
   /// Answers all requests that are in progress.
   void EndRequests(kernel::TimePoint now);
   void SetGauges(kernel::TimePoint now);
@@ -125,6 +126,7 @@
   RetryAllowance retries;
   RequestQueue queue;
   GracefulStop stop;
+  std::atomic<bool> has_closed{false};  ///< Whether kStopClosing is logged.
   /// Last number given to a request or used to pick a service.
   std::atomic<std::uint64_t> last_number;
   /// Runners of all active requests, by number.
--- a/src/direct/tests/silent_stream_test.cc
+++ b/src/direct/tests/silent_stream_test.cc
@@ -112,7 +112,8 @@
   stream.Apply(stream.flow->OnHead(2, Refusal(), kSilent));
   stream.Apply(stream.flow->OnFailed(3, SendState::kMaybeSent, kSilent));
   cr_expect_eq(stream.Count<CallEndpoint>(), 3);
-  cr_expect_eq(stream.Count<AbortResponse>(), 1);
+  cr_assert_eq(stream.Count<AbortResponse>(), 1);
+  cr_expect_eq(stream.Last<AbortResponse>()->reason, "answer_lost");
 }
 
 }  // namespace banyanlane::direct
--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -63,6 +63,9 @@
       {EventId::kSettingsRefused, "settings_refused", Level::kWarning,
        "The changed settings file is invalid; the current settings stay in "
        "use."},
+      {EventId::kStopClosing, "stop_closing", Level::kInfo,
+       "The shutdown accepts nothing more; the requests that are left are "
+       "answered at once."},
       {EventId::kConfigAdopted, "config_adopted", Level::kInfo,
        "A configuration revision was adopted."},
       {EventId::kConfigRefused, "config_refused", Level::kWarning,
--- a/src/kernel/event_log.h
+++ b/src/kernel/event_log.h
@@ -18,6 +18,7 @@
   kProcessStopped = 104,
   kSettingsReloaded = 105,
   kSettingsRefused = 106,
+  kStopClosing = 107,
   kConfigAdopted = 200,
   kConfigRefused = 201,
   kConfigSuperseded = 202,
