Send no waiting request on while the end of a stop ends the others

What callers saw: of 40 requests that may not be repeated, 8 at a server and the others waiting when a stop closed, some that had reached no server got 504, which promises nothing, instead of 503, so that their callers may not send them again.

Cause: ending a request frees its place, and a freed place was given to a waiting request, which was then cut off as one that may have run. A request that had not begun when the stop closed was called 504 as well.

Evidence: gateway_stop_end/answers_the_requests_that_wait_for_capacity now asks for 503 for each request that reached no server.

Why this works: once a stop closes, nothing is sent from the queue, and only requests with an attempt are called 504.

--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -23,6 +23,8 @@
       last_delivered_id(this->request.last_event_id) {}
 
 DirectActions DirectFlow::Start(kernel::TimePoint now) {
+  // The end of a stop may have answered the request already.
+  if (this->state == State::kDone) return {};
   this->arrived_at = now;
   if (const auto limit = this->request.TimeLimit())
     this->deadline = now + *limit;
--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -239,8 +239,8 @@
 
 DirectActions DirectFlow::OnStopEnd(kernel::TimePoint now) {
   if (this->state == State::kDone) return {};
-  if (this->state == State::kQueued) {
-    this->LeaveQueue(now);
+  if (this->state == State::kQueued) this->LeaveQueue(now);
+  if (!this->endpoint) {
     this->FailRequest("leaving", kernel::Millis(0));
     return this->TakeActions();
   }
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -319,6 +319,8 @@
 
 void DirectService::SendQueued(const std::string& service,
                                kernel::TimePoint now) {
+  // The end of a stop frees places, and would cut off what is sent to them.
+  if (this->stop.IsClosing()) return;
   // A request that can't use the capacity, because it has tried that endpoint
   // before, does not keep the ones behind it from using it.
   std::set<std::uint64_t> tried;
--- a/tests/processes/gateway_stop_end_test.cc
+++ b/tests/processes/gateway_stop_end_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
 constexpr int kPaceMillis = 10;
 /// Longer than a stop lasts when it waits for callers alone.
 constexpr kernel::Millis kUploadTime{4'500};
@@ -76,6 +77,9 @@
   for (const CallerRecord& record : records) {
     cr_expect(record.is_complete || record.sent_at > stop.signalled_at, "%s",
               record.id.c_str());
+    const bool has_run = server.WorkedUntil(record.id).has_value();
+    if (record.is_complete && !has_run)
+      cr_expect_eq(record.status, kUnavailable, "%s", record.id.c_str());
   }
 }
 
