Return to a silent endpoint also before the first event

What callers saw: a stream whose endpoint was silent before its first event was sent to another endpoint; when that one refused it, the caller got 502, though the first endpoint was sound.

Cause: only a stream that had begun was allowed to return to the endpoint that was left for its silence; others had used up their attempts.

Evidence: silent_stream/returns_to_its_endpoint_before_the_first_event failed on the code before.

Why this works: a refused attempt has not run, whether or not events came before, so that it does not count, and the endpoint may be chosen again. The tests of flows, streams, rests, limits and crashes pass.

--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -239,10 +239,9 @@
 
 void DirectFlow::OnRefused(kernel::TimePoint now) {
   ++this->refusals;
-  // The refused attempt has not run, and the endpoint that began the stream may
-  // only have been silent for a while.
-  if (this->attempt_resumes && this->ReturnToSilentEndpoint())
-    --this->sent_attempts;
+  // The refused attempt has not run, and the endpoint that was left may only
+  // have been silent for a while.
+  if (this->ReturnToSilentEndpoint()) --this->sent_attempts;
   if (this->refusals <= this->context.limits.max_refusals &&
       this->TryAcquireRetry(now)) {
     this->SendOrWait(now);
--- a/src/direct/tests/silent_stream_test.cc
+++ b/src/direct/tests/silent_stream_test.cc
@@ -106,6 +106,23 @@
   }
 }
 
+// Guards against a stream that fails because another endpoint refuses it
+// before its first event.
+Test(silent_stream, returns_to_its_endpoint_before_the_first_event) {
+  FlowHarness stream(true, true, 2, kRetries);
+  stream.Apply(stream.flow->Start(kStart));
+  const std::string first = stream.Last<CallEndpoint>()->endpoint.id;
+  stream.pool.OnFirstEvent({first == "e0" ? "e1" : "e0", "", "model"},
+                           kernel::Millis(1), kSilent);
+  stream.pool.OnProgress({first == "e0" ? "e1" : "e0", "", "model"}, kSilent);
+  stream.Apply(stream.flow->OnTimer(kSilent));
+  cr_assert_eq(stream.Count<CallEndpoint>(), 2);
+  stream.Apply(stream.flow->OnHead(2, Refusal(), kSilent));
+  cr_assert_eq(stream.Count<CallEndpoint>(), 3);
+  cr_expect_eq(stream.Last<CallEndpoint>()->endpoint.id, first);
+  cr_expect_eq(stream.Count<SendRefusal>(), 0);
+}
+
 Test(silent_stream, runs_at_no_more_endpoints_than_its_profile_allows) {
   SilentStream stream;
   stream.Stall(kSilent);
