Bound the acknowledgement of a closed link to 200 ms again

Cause: the time for closing a link became an argument of each own close, and the answer to the close of a peer was left with the library's 5 s, so that a peer that closes and then freezes kept its link, and blocked a new one, until it counted as silent. Found by the review, by reading; no test failed. Change: the hub sets the limit for all links, as it did before. Result: link_stop/* and cut_handshake/* pass.

--- a/src/link/internal/ws_hub.cc
+++ b/src/link/internal/ws_hub.cc
@@ -81,6 +81,8 @@
   endpoint.set_max_message_size(this->shared->limits.max_frame_bytes);
   endpoint.set_open_handshake_timeout(
       this->shared->limits.handshake_timeout.count());
+  endpoint.set_close_handshake_timeout(
+      this->shared->limits.close_timeout.count());
   this->security.Apply(endpoint);
   endpoint.set_tcp_post_init_handler([&endpoint](const Handle& handle) {
     // Without no_delay, small frames in a row would each wait for an
