End the watch of a write also when the write throws

Cause: an exception in a write left its watch running with a reference to the stream, which the end of the connection destroys. Found by the review, by reading; no test failed, as nothing is known to throw there. Change: a guard ends the watch.

--- a/src/http/internal/http_exchange.cc
+++ b/src/http/internal/http_exchange.cc
@@ -1,5 +1,6 @@
 #include "http/internal/http_exchange.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -102,9 +103,11 @@
 template <typename WriteSteps>
 bool HttpExchange::Write(WriteSteps write_steps) {
   beast::error_code failure;
-  this->write_deadline->Begin(kernel::Clock::now());
-  write_steps(failure);
-  this->write_deadline->End();
+  {
+    const absl::Cleanup on_end = [this] { this->write_deadline->End(); };
+    this->write_deadline->Begin(kernel::Clock::now());
+    write_steps(failure);
+  }
   this->failed = static_cast<bool>(failure);
   return !this->failed;
 }
