--- a/tests/processes/fleet.cc
+++ b/tests/processes/fleet.cc
@@ -49,11 +49,13 @@
 void ResponseRecorder::OnEnd() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->ended = true;
+  this->end = kernel::Clock::now();
 }
 void ResponseRecorder::OnFailed(const kernel::Error& /*error*/,
                                 http::SendState /*state*/) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->failed = true;
+  this->end = kernel::Clock::now();
 }
 int ResponseRecorder::status() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
@@ -71,6 +73,10 @@
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->ended;
 }
+kernel::TimePoint ResponseRecorder::ended_at() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->end;
+}
 bool ResponseRecorder::finished() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->ended || this->failed;
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -28,6 +28,8 @@
   bool complete() const;
   /// Returns whether the response is complete or has failed.
   bool finished() const;
+  /// Returns when the response was complete or failed.
+  kernel::TimePoint ended_at() const;
 
  private:
   mutable std::mutex mutex;
@@ -36,6 +38,7 @@
   std::string body;
   bool ended = false;
   bool failed = false;
+  kernel::TimePoint end;
 };
 
 /// Processes of one test: stand-ins, entries and agents. They listen on a
