--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -5,8 +5,6 @@
 namespace banyanlane::soak {
 namespace {
 
-constexpr int kGateways = 3;
-constexpr double kRate = 0.3;
 constexpr kernel::Millis kDuration{20'000};
 constexpr kernel::Millis kPause{700};
 /// Longer than a busy machine delays the callers of the test.
@@ -18,10 +16,8 @@
 // and reconfigured.
 Test(soak, loses_no_request_around_planned_work) {
   SoakOptions options;
-  options.mix = Scaled(LoadMix(std::string(BANYANLANE_SOURCE_DIR) +
-                               "/tests/soak/mixes/hanbit-scan.json"),
-                       kRate);
-  options.mix.gateways = kGateways;
+  options.mix = LoadMix(std::string(BANYANLANE_SOURCE_DIR) +
+                        "/tests/soak/mixes/short.json");
   options.processes.binary = std::string(BANYANLANE_BINARY_DIR) + "/banyanlane";
   options.plan.pause = kPause;
   options.unread_slack = kUnreadSlack;
