Show a server that has left in use again after a restore of the store

Cause: entries that a restored store lists again are held back for 2.3 s only, also those whose removal was known, and are then adopted.

--- a/review/second/tests/harness.cc
+++ b/review/second/tests/harness.cc
@@ -314,6 +314,28 @@
   this->changed.notify_all();
 }
 
+void Store::TakeCopy() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->copied_items = this->items;
+  this->copied_history = this->history;
+  this->copied_revision = this->revision;
+}
+
+void Store::GoAway() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->is_away = true;
+  this->changed.notify_all();
+}
+
+void Store::Restore() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->items = this->copied_items;
+  this->history = this->copied_history;
+  this->revision = this->copied_revision;
+  ++this->era;
+  this->is_away = false;
+}
+
 std::string Store::Describe(const Event& event) {
   std::string text = "{\"key\":\"" + event.key +
                      "\",\"revision\":" + std::to_string(event.revision);
@@ -330,8 +352,10 @@
     const bool is_watch = target.find("kv-watch") != std::string::npos;
     std::string list;
     std::string body;
+    std::string status = "200 OK";
     {
       std::unique_lock<std::mutex> lock(this->mutex);
+      if (this->is_away) return connection.Reset();
       const auto add = [&](const Event& event) {
         if (event.key.compare(0, prefix.size(), prefix) != 0) return;
         list += (list.empty() ? "" : ",") + Describe(event);
@@ -345,20 +369,23 @@
             if (event.revision > after) add(event);
           }
           const bool has_ended =
-              !list.empty() ||
+              !list.empty() || this->is_away || after > this->revision ||
               this->changed.wait_until(lock, until) == std::cv_status::timeout;
           if (has_ended) break;
         }
+        if (this->is_away) return connection.Reset();
+        if (after > this->revision) status = "410 Gone";
         body = "{\"events\":[" + list + "]";
       } else {
         for (const auto& entry : this->items) add(entry.second);
         body = "{\"entries\":[" + list + "],\"hasMore\":false";
       }
       body += ",\"asOf\":" + std::to_string(this->revision) + "}";
+      status += "\r\nStore-Era: " + std::to_string(this->era);
     }
     const bool sent = connection.Send(
-        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-        "Content-Length: " +
+        "HTTP/1.1 " + status +
+        "\r\nContent-Type: application/json\r\nContent-Length: " +
         std::to_string(body.size()) + "\r\n\r\n" + body);
     if (!sent) return;
   }
--- a/review/second/tests/harness.h
+++ b/review/second/tests/harness.h
@@ -108,6 +108,12 @@
   int port() const { return this->listener->port(); }
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  /// Takes the copy from which Restore restores.
+  void TakeCopy();
+  /// Resets all calls until Restore.
+  void GoAway();
+  /// Answers again, from the copy, in the next era.
+  void Restore();
 
  private:
   struct Event {
@@ -124,6 +130,11 @@
   std::map<std::string, Event> items;
   std::vector<Event> history;
   std::uint64_t revision = 1;
+  std::map<std::string, Event> copied_items;
+  std::vector<Event> copied_history;
+  std::uint64_t copied_revision = 1;
+  std::uint64_t era = 1;
+  bool is_away = false;
   std::unique_ptr<Listener> listener;
 };
 
