--- a/review/second/tests/harness.cc
+++ b/review/second/tests/harness.cc
@@ -27,6 +27,7 @@
 
 const Clock::time_point kBegan = Clock::now();
 std::ofstream record_file;
+bool is_record_closed = false;
 std::mutex record_mutex;
 
 constexpr int kHeadTimeout = 30'000;
@@ -126,12 +127,18 @@
 
 void Record::Line(const std::string& text) {
   const std::lock_guard<std::mutex> lock(record_mutex);
+  if (is_record_closed) return;
   char stamp[32];
   std::snprintf(stamp, sizeof(stamp), "%8.3f ", Elapsed());
   record_file << stamp << text << std::endl;
   std::cout << stamp << text << std::endl;
 }
 
+void Record::Close() {
+  const std::lock_guard<std::mutex> lock(record_mutex);
+  is_record_closed = true;
+}
+
 std::string Message::Header(const std::string& name) const {
   for (const auto& [key, value] : this->headers) {
     if (key == name) return value;
--- a/review/second/tests/harness.h
+++ b/review/second/tests/harness.h
@@ -31,6 +31,8 @@
  public:
   static void Open(const std::string& path);
   static void Line(const std::string& text);
+  /// Ignores all further lines.
+  static void Close();
 };
 
 /// One HTTP message with its header names in lower case.
