--- a/review/second/tests/harness.cc
+++ b/review/second/tests/harness.cc
@@ -103,6 +103,50 @@
   return address;
 }
 
+std::string JoinedAddresses(const std::vector<int>& ports) {
+  std::string list;
+  for (const int port : ports)
+    list += (list.empty() ? "" : ",") + Loopback(port);
+  return list;
+}
+
+/// Writes settings from the template of `role`.
+/// @return the path of the file.
+std::string WriteSettings(
+    const std::string& name, const std::string& role,
+    const std::vector<std::pair<std::string, std::string>>& fields) {
+  std::ifstream file(Environment("PROJECT", ".") + "/deploy/" + role + ".ini");
+  std::stringstream text;
+  text << file.rdbuf();
+  std::string settings = text.str();
+  ReplaceAll(settings, "{{nodeName}}", name);
+  ReplaceAll(settings, "{{zone}}", "z-a");
+  for (const auto& [field, value] : fields) ReplaceAll(settings, field, value);
+  const std::string path =
+      Environment("CASE_TMP", "/tmp") + "/" + name + ".ini";
+  std::ofstream(path) << settings;
+  return path;
+}
+
+/// Starts a role of the project's program, which ends with this process.
+pid_t StartProcess(const std::string& name, const std::string& role,
+                   const std::string& settings_path) {
+  const std::string program =
+      Environment("PROJECT", ".") + "/target/banyanlane";
+  const std::string settings = "--settings=" + settings_path;
+  const std::string log_path =
+      Environment("CASE_TMP", "/tmp") + "/" + name + ".log";
+  const pid_t pid = ::fork();
+  if (pid != 0) return pid;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int log = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::dup2(log, 1);
+  ::dup2(log, 2);
+  ::execl(program.c_str(), program.c_str(), role.c_str(), settings.c_str(),
+          nullptr);
+  ::_exit(127);
+}
+
 }  // namespace
 
 double Elapsed() {
@@ -303,8 +347,15 @@
 }
 
 Store::Store()
-    : listener(std::make_unique<Listener>(
-          0, [this](Connection& connection) { this->Serve(connection); })) {}
+    : listener(std::make_unique<Listener>(0, [this](Connection& connection) {
+        this->Serve(connection, false);
+      })) {}
+
+int Store::AddPort() {
+  this->added_listener = std::make_unique<Listener>(
+      0, [this](Connection& connection) { this->Serve(connection, true); });
+  return this->added_listener->port();
+}
 
 void Store::Put(const std::string& key, const std::string& value) {
   const std::lock_guard<std::mutex> lock(this->mutex);
@@ -351,7 +402,7 @@
          Base64(event.value) + "\"}";
 }
 
-void Store::Serve(Connection& connection) {
+void Store::Serve(Connection& connection, bool can_be_turned_away) {
   Message request;
   while (connection.ReadHead(request, kHeadTimeout)) {
     const std::string target = request.Word(1);
@@ -363,6 +414,10 @@
     {
       std::unique_lock<std::mutex> lock(this->mutex);
       if (this->is_away) return connection.Reset();
+      if (can_be_turned_away && this->is_turning_away) {
+        connection.Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        continue;
+      }
       const auto add = [&](const Event& event) {
         if (event.key.compare(0, prefix.size(), prefix) != 0) return;
         list += (list.empty() ? "" : ",") + Describe(event);
@@ -441,6 +496,24 @@
   Message request;
   if (!connection.ReadHead(request, kHeadTimeout)) return;
   if (!connection.ReadBody(request, kHeadTimeout)) return;
+  const std::string path = request.Word(1);
+  if (path.compare(0, 12, "/banyanlane/") == 0) {
+    const bool is_report = path == "/banyanlane/report";
+    const std::string body =
+        is_report
+            ? "{\"phase\":\"both\",\"models\":[],\"busy\":false,\"sequence\":0,"
+              "\"queued\":0,\"active\":0,\"kvUsed\":0,\"kvTotal\":1000,"
+              "\"kvHandles\":0,\"group\":{\"name\":\"g\",\"epoch\":1,"
+              "\"rank\":0,\"state\":\"open\"},\"size\":1,\"step\":1,"
+              "\"map\":0,\"pace\":1}"
+            : "{\"step\":1,\"epoch\":1,\"counts\":[0],\"map\":{\"version\":0,"
+              "\"experts\":[[0]]}}";
+    connection.Send(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        "Connection: close\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body);
+    return;
+  }
   if (request.Header("x-expect-instance") != this->name) {
     connection.Send(
         "HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\n"
@@ -450,39 +523,47 @@
   this->handler(*this, connection, request);
 }
 
-Gateway::Gateway(std::string name, const Store& store, int link_port,
+RankAgent::RankAgent(const std::string& name, int store_port,
+                     const Server& engine, const std::vector<int>& seeds) {
+  const std::string settings =
+      WriteSettings(name, "rank",
+                    {{"{{limits.maxFds}}", "1000"},
+                     {"{{limits.memoryMb}}", "128"},
+                     {"{{ip}}:9464", Loopback(FreePort())},
+                     {"{{provider.address}}", Loopback(store_port)},
+                     {"{{ip}}:{{portRange.1}}", Loopback(FreePort())},
+                     {"{{seeds}}", JoinedAddresses(seeds)},
+                     {"{{service}}", "core"},
+                     {"{{app}}", Loopback(engine.port())},
+                     {"{{limits.linkMbps}}", "20"}});
+  this->pid = StartProcess(name, "rank", settings);
+}
+
+RankAgent::~RankAgent() {
+  ::kill(this->pid, SIGKILL);
+  ::waitpid(this->pid, nullptr, 0);
+}
+
+Gateway::Gateway(std::string name, int store_port, int link_port,
                  const std::vector<int>& seeds)
     : node(std::move(name)), front_port(FreePort()), ready_port(FreePort()) {
-  const std::string folder = Environment("CASE_TMP", "/tmp");
-  this->settings_path = folder + "/" + this->node + ".ini";
-  this->log_path = folder + "/" + this->node + ".log";
-  std::ifstream file(Environment("PROJECT", ".") + "/deploy/gateway.ini");
-  std::stringstream text;
-  text << file.rdbuf();
-  std::string settings = text.str();
-  std::string seed_list;
-  for (const int seed : seeds)
-    seed_list += (seed_list.empty() ? "" : ",") + Loopback(seed);
-  const std::vector<std::pair<std::string, std::string>> fields = {
-      {"{{nodeName}}", this->node},
-      {"{{zone}}", "z-a"},
-      {"{{limits.maxFds}}", "1000"},
-      {"{{limits.memoryMb}}", "260"},
-      {"{{ip}}:9464", Loopback(FreePort())},
-      {"{{provider.address}}", Loopback(store.port())},
-      {"{{listen.ready}}", Loopback(this->ready_port)},
-      {"{{listen.directory}}", Loopback(FreePort())},
-      {"{{listen.controlPlane}}", Loopback(link_port)},
-      {"{{listen.frontend}}", Loopback(this->front_port)},
-      {"{{seeds}}", seed_list},
-      {"{{bounds.drainMs}}", "2000"},
-      {"{{bounds.graceS}}", "8"},
-      {"{{bounds.stall_ms}}", "1500"},
-      {"{{bounds.retryRatio}}", "0.2"},
-      {"{{bounds.retryWindowS}}", "10"},
-      {"{{bounds.retrySlack}}", "90"}};
-  for (const auto& [field, value] : fields) ReplaceAll(settings, field, value);
-  std::ofstream(this->settings_path) << settings;
+  this->settings_path =
+      WriteSettings(this->node, "gateway",
+                    {{"{{limits.maxFds}}", "1000"},
+                     {"{{limits.memoryMb}}", "260"},
+                     {"{{ip}}:9464", Loopback(FreePort())},
+                     {"{{provider.address}}", Loopback(store_port)},
+                     {"{{listen.ready}}", Loopback(this->ready_port)},
+                     {"{{listen.directory}}", Loopback(FreePort())},
+                     {"{{listen.controlPlane}}", Loopback(link_port)},
+                     {"{{listen.frontend}}", Loopback(this->front_port)},
+                     {"{{seeds}}", JoinedAddresses(seeds)},
+                     {"{{bounds.drainMs}}", "2000"},
+                     {"{{bounds.graceS}}", "8"},
+                     {"{{bounds.stall_ms}}", "1500"},
+                     {"{{bounds.retryRatio}}", "0.2"},
+                     {"{{bounds.retryWindowS}}", "10"},
+                     {"{{bounds.retrySlack}}", "90"}});
   this->Start();
 }
 
@@ -493,19 +574,7 @@
 }
 
 void Gateway::Start() {
-  const std::string program =
-      Environment("PROJECT", ".") + "/target/banyanlane";
-  const std::string settings = "--settings=" + this->settings_path;
-  this->pid = ::fork();
-  if (this->pid != 0) return;
-  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-  const int log =
-      ::open(this->log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-  ::dup2(log, 1);
-  ::dup2(log, 2);
-  ::execl(program.c_str(), program.c_str(), "gateway", settings.c_str(),
-          nullptr);
-  ::_exit(127);
+  this->pid = StartProcess(this->node, "gateway", this->settings_path);
 }
 
 bool Gateway::AwaitReady() {
@@ -550,7 +619,8 @@
 }
 
 std::string Configuration(int version, const std::vector<Route>& routes,
-                          const std::vector<std::string>& services) {
+                          const std::vector<std::string>& services,
+                          const std::vector<std::string>& api_keys) {
   std::string list;
   for (const Route& route : routes) {
     list += (list.empty() ? "" : ",") + std::string("{\"name\":\"") +
@@ -565,8 +635,15 @@
   std::string named;
   for (const std::string& service : services)
     named += (named.empty() ? "" : ",") + ("{\"name\":\"" + service + "\"}");
-  return "{\"version\":" + std::to_string(version) + ",\"routeList\":[" + list +
-         "],\"services\":[" + named +
+  std::string keys;
+  for (const std::string& key : api_keys)
+    keys += (keys.empty() ? "\"" : ",\"") + key + "\"";
+  const std::string tenants =
+      keys.empty()
+          ? ""
+          : "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[" + keys + "]}],";
+  return "{" + tenants + "\"version\":" + std::to_string(version) +
+         ",\"routeList\":[" + list + "],\"services\":[" + named +
          "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,"
          "\"headerTimeoutMs\":5000,\"idleTimeoutMs\":30000}}";
 }
--- a/review/second/tests/harness.h
+++ b/review/second/tests/harness.h
@@ -108,6 +108,10 @@
  public:
   Store();
   int port() const { return this->listener->port(); }
+  /// Opens another port, whose callers can be turned away.
+  int AddPort();
+  /// Answers callers of the added port with 503.
+  void TurnAway(bool turns_away) { this->is_turning_away = turns_away; }
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   /// Takes the copy from which Restore restores.
@@ -124,7 +128,7 @@
     std::uint64_t revision = 0;
     bool deleted = false;
   };
-  void Serve(Connection& connection);
+  void Serve(Connection& connection, bool can_be_turned_away);
   static std::string Describe(const Event& event);
 
   std::mutex mutex;
@@ -137,17 +141,21 @@
   std::uint64_t copied_revision = 1;
   std::uint64_t era = 1;
   bool is_away = false;
+  std::atomic<bool> is_turning_away{false};
   std::unique_ptr<Listener> listener;
+  std::unique_ptr<Listener> added_listener;
 };
 
 /// Server of a service. Requests for another id get 421.
 class Server {
  public:
   /// Called for each request that the server accepts, after its body was read.
+  /// Calls of a rank agent are answered as by an idle rank of a group.
   using Handler = std::function<void(Server&, Connection&, const Message&)>;
   Server(Store& store, std::string id, std::string service, Handler handler);
 
   const std::string& id() const { return this->name; }
+  int port() const { return this->listener->port(); }
   /// Returns the header fields of an answer to `request`, each with its end of
   /// line.
   std::string AnswerFields(const Message& request) const;
@@ -169,12 +177,25 @@
   std::unique_ptr<Listener> listener;
 };
 
+/// A rank agent, started as the deploy file says, with settings made from its
+/// template.
+class RankAgent {
+ public:
+  /// @param seeds ports of the links of the gateways to connect to.
+  RankAgent(const std::string& name, int store_port, const Server& engine,
+            const std::vector<int>& seeds);
+  ~RankAgent();
+
+ private:
+  pid_t pid = 0;
+};
+
 /// A gateway, started as the deploy file says, with settings made from its
 /// template.
 class Gateway {
  public:
   /// @param seeds ports of the links of the gateways to connect to.
-  Gateway(std::string name, const Store& store, int link_port,
+  Gateway(std::string name, int store_port, int link_port,
           const std::vector<int>& seeds);
   ~Gateway();
   void Start();
@@ -190,7 +211,6 @@
  private:
   std::string node;
   std::string settings_path;
-  std::string log_path;
   int front_port;
   int ready_port;
   pid_t pid = 0;
@@ -209,7 +229,8 @@
 
 /// Returns the operator's configuration.
 std::string Configuration(int version, const std::vector<Route>& routes,
-                          const std::vector<std::string>& services);
+                          const std::vector<std::string>& services,
+                          const std::vector<std::string>& api_keys = {});
 
 /// Returns a request with a body of known length.
 std::string Request(const std::string& method, const std::string& path,
--- a/review/second/tests/no_content_case.cc
+++ b/review/second/tests/no_content_case.cc
@@ -102,7 +102,7 @@
   for (const char* id : {"i-1", "i-2"})
     servers.push_back(std::make_unique<Server>(store, id, "model", Serve));
   const int link = FreePort();
-  Gateway gateway("edge-1", store, link, {link});
+  Gateway gateway("edge-1", store.port(), link, {link});
   if (!gateway.AwaitReady()) return 2;
 
   std::atomic<bool> reset{false};
--- a/review/second/tests/preempted_stream_case.cc
+++ b/review/second/tests/preempted_stream_case.cc
@@ -129,7 +129,7 @@
   store.Put("op/config", configuration);
   Server full(store, "i-full", "model", Serve(false));
   const int link = FreePort();
-  Gateway gateway("edge-1", store, link, {link});
+  Gateway gateway("edge-1", store.port(), link, {link});
   if (!gateway.AwaitReady()) return 2;
 
   std::vector<std::thread> callers;
--- a/review/second/tests/restored_list_case.cc
+++ b/review/second/tests/restored_list_case.cc
@@ -85,8 +85,9 @@
   const std::vector<int> links = {FreePort(), FreePort()};
   std::vector<std::unique_ptr<Gateway>> gateways;
   for (const int link : links) {
-    gateways.push_back(std::make_unique<Gateway>(
-        "edge-" + std::to_string(gateways.size() + 1), store, link, links));
+    gateways.push_back(
+        std::make_unique<Gateway>("edge-" + std::to_string(gateways.size() + 1),
+                                  store.port(), link, links));
   }
   for (const auto& gateway : gateways) {
     if (!gateway->AwaitReady()) return 2;
