Keep the log of a gateway that does not start, and give each its own ports

Ports were probed and closed before their use, so that cases that start together could take each other's: suspected, not traced. At its end a case destroyed what its threads still used, and waited 8 s for them. Change: ports differ by process and lie below those of connections; a failed start is written to the record; a case ends its processes by their ids and exits.

--- a/review/second/tests/harness.cc
+++ b/review/second/tests/harness.cc
@@ -28,6 +28,7 @@
 const Clock::time_point kBegan = Clock::now();
 std::ofstream record_file;
 bool is_record_closed = false;
+std::vector<pid_t> started;
 std::mutex record_mutex;
 
 constexpr int kHeadTimeout = 30'000;
@@ -137,7 +138,10 @@
   const std::string log_path =
       Environment("CASE_TMP", "/tmp") + "/" + name + ".log";
   const pid_t pid = ::fork();
-  if (pid != 0) return pid;
+  if (pid != 0) {
+    started.push_back(pid);
+    return pid;
+  }
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int log = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::dup2(log, 1);
@@ -158,13 +162,21 @@
 }
 
 int FreePort() {
-  const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = AddressOf(0);
-  socklen_t size = sizeof(address);
-  ::bind(probe, reinterpret_cast<sockaddr*>(&address), size);
-  ::getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(probe);
-  return ntohs(address.sin_port);
+  constexpr int kFirst = 12'000;
+  constexpr int kCount = 20'000;
+  constexpr int kPerProcess = 40;
+  static int used = 0;
+  while (true) {
+    const int port =
+        kFirst + (static_cast<int>(::getpid()) * kPerProcess + used++) % kCount;
+    const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = AddressOf(port);
+    const bool is_free =
+        ::bind(probe, reinterpret_cast<const sockaddr*>(&address),
+               sizeof(address)) == 0;
+    ::close(probe);
+    if (is_free) return port;
+  }
 }
 
 void Record::Open(const std::string& path) { record_file.open(path); }
@@ -591,6 +603,11 @@
     }
     SleepMillis(100);
   }
+  // Shows in the record why a case could not run.
+  std::ifstream log(Environment("CASE_TMP", "/tmp") + "/" + this->node +
+                    ".log");
+  Record::Line(this->node + " is not ready; its log:");
+  for (std::string line; std::getline(log, line);) Record::Line(line);
   return false;
 }
 
@@ -602,6 +619,8 @@
   for (int waited = 0; waited < timeout_ms; waited += 20) {
     int status = 0;
     if (::waitpid(this->pid, &status, WNOHANG) == this->pid) {
+      started.erase(std::remove(started.begin(), started.end(), this->pid),
+                    started.end());
       this->pid = 0;
       return status;
     }
@@ -663,6 +682,14 @@
   return value == nullptr ? fallback : value;
 }
 
+void Finish(int status) {
+  for (const pid_t pid : started) {
+    ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
+  }
+  std::_Exit(status);
+}
+
 bool HasTrouble() { return Environment("TROUBLE", "1") != "0"; }
 
 }  // namespace review
--- a/review/second/tests/harness.h
+++ b/review/second/tests/harness.h
@@ -22,7 +22,8 @@
 /// Returns the seconds since the program began.
 double Elapsed();
 void SleepMillis(int millis);
-/// Returns a loopback port that is free now.
+/// Returns a loopback port that is free now, below the ports that the system
+/// gives to connections, and another one with each call and in each process.
 int FreePort();
 
 /// Writes what was sent, answered and run to the record of the case, and to the
@@ -240,6 +241,9 @@
 
 /// Returns `value` of the environment variable, or `fallback`.
 std::string Environment(const char* name, const std::string& fallback);
+/// Kills the processes that were started, and ends this one with `status`.
+/// Threads of the stand-ins may still run, so that nothing is destroyed.
+[[noreturn]] void Finish(int status);
 /// Returns whether the case runs with its disruption.
 bool HasTrouble();
 
--- a/review/second/tests/no_content_case.cc
+++ b/review/second/tests/no_content_case.cc
@@ -90,7 +90,7 @@
   }
 }
 
-int Run() {
+void Run() {
   Store store;
   store.Put("op/config",
             Configuration(
@@ -103,7 +103,7 @@
     servers.push_back(std::make_unique<Server>(store, id, "model", Serve));
   const int link = FreePort();
   Gateway gateway("edge-1", store.port(), link, {link});
-  if (!gateway.AwaitReady()) return 2;
+  if (!gateway.AwaitReady()) Finish(2);
 
   std::atomic<bool> reset{false};
   Listener relay(
@@ -112,7 +112,7 @@
       std::make_unique<Connection>(Connection::Connect(relay.port()));
   Message answer;
   connection->Send(Request("POST", "/letter/1", "letter-1", kDeadlineMillis));
-  if (!connection->ReadHead(answer, kDeadlineMillis)) return 2;
+  if (!connection->ReadHead(answer, kDeadlineMillis)) Finish(2);
   Record::Line("caller: letter-1 " + answer.first_line);
   std::thread trouble([&] {
     if (!HasTrouble()) return;
@@ -131,7 +131,7 @@
     connection->Send(
         Request("POST", "/letter/1", "letter-2", kDeadlineMillis,
                 "Last-Event-Id: " + std::to_string(last) + "\r\n"));
-    if (!connection->ReadHead(answer, kDeadlineMillis)) return 2;
+    if (!connection->ReadHead(answer, kDeadlineMillis)) Finish(2);
     Record::Line("caller: letter-2 " + answer.first_line);
     for (const auto& [name, value] : answer.headers)
       Record::Line("caller:   " + name + ": " + value);
@@ -147,7 +147,7 @@
   const bool is_broken = line.compare(0, 9, "HTTP/1.1 ") != 0;
   Record::Line(is_broken ? "MIXED broken: bytes that are no answer"
                          : "the rule held");
-  return is_broken ? 1 : 0;
+  Finish(is_broken ? 1 : 0);
 }
 
 }  // namespace
@@ -156,5 +156,5 @@
 int main(int argc, char** argv) {
   if (argc < 2) return 2;
   review::Record::Open(argv[1]);
-  return review::Run();
+  review::Run();
 }
--- a/review/second/tests/preempted_stream_case.cc
+++ b/review/second/tests/preempted_stream_case.cc
@@ -119,7 +119,7 @@
   }
 }
 
-int Run() {
+void Run() {
   Store store;
   std::string configuration = Configuration(
       1, {{"note", "/note/", "streaming", "model", 40'000, 3, true}},
@@ -130,7 +130,7 @@
   Server full(store, "i-full", "model", Serve(false));
   const int link = FreePort();
   Gateway gateway("edge-1", store.port(), link, {link});
-  if (!gateway.AwaitReady()) return 2;
+  if (!gateway.AwaitReady()) Finish(2);
 
   std::vector<std::thread> callers;
   const auto start = [&](const std::string& id) {
@@ -183,9 +183,7 @@
       watched.status == 200 && !watched.is_complete && !watched.caller_left;
   Record::Line(is_lost ? "LOST broken" : "the rule held");
   Record::Close();
-  gateway.Signal(SIGKILL);
-  gateway.AwaitExit(1'000);
-  std::_Exit(watched.status != 200 ? 2 : is_lost ? 1 : 0);
+  Finish(watched.status != 200 ? 2 : is_lost ? 1 : 0);
 }
 
 }  // namespace
@@ -194,5 +192,5 @@
 int main(int argc, char** argv) {
   if (argc < 2) return 2;
   review::Record::Open(argv[1]);
-  return review::Run();
+  review::Run();
 }
--- a/review/second/tests/restored_list_case.cc
+++ b/review/second/tests/restored_list_case.cc
@@ -73,7 +73,7 @@
   ++answers[answered ? std::atoi(answer.Word(1).c_str()) : 0];
 }
 
-int Run() {
+void Run() {
   Store store;
   const std::string configuration = Configuration(
       1, {{"view", "/view/", "idempotent", "core", 1'000, 2}}, {"core"});
@@ -90,7 +90,7 @@
                                   store.port(), link, links));
   }
   for (const auto& gateway : gateways) {
-    if (!gateway->AwaitReady()) return 2;
+    if (!gateway->AwaitReady()) Finish(2);
   }
 
   std::map<int, int> answers;
@@ -143,7 +143,7 @@
                std::to_string(excused_arrivals) +
                " of a gateway that was not in touch");
   Record::Line(late_arrivals > 0 ? "DRAIN broken" : "the rule held");
-  return late_arrivals > 0 ? 1 : 0;
+  Finish(late_arrivals > 0 ? 1 : 0);
 }
 
 }  // namespace
@@ -152,5 +152,5 @@
 int main(int argc, char** argv) {
   if (argc < 2) return 2;
   review::Record::Open(argv[1]);
-  return review::Run();
+  review::Run();
 }
--- a/review/second/tests/stale_copy_case.cc
+++ b/review/second/tests/stale_copy_case.cc
@@ -52,7 +52,7 @@
   return std::atoi(answer.Word(1).c_str());
 }
 
-int Run() {
+void Run() {
   const std::vector<Route> routes = {
       {"view", "/view/", "idempotent", "core", 1'000, 2}};
   Store store;
@@ -61,7 +61,7 @@
   Server server(store, "i-1", "core", Serve);
   const int link = FreePort();
   Gateway gateway("edge-1", store.AddPort(), link, {link});
-  if (!gateway.AwaitReady()) return 2;
+  if (!gateway.AwaitReady()) Finish(2);
   Server engine(store, "i-2", "core", Serve);
   const RankAgent rank("side-1", store.port(), engine, {link});
 
@@ -75,7 +75,7 @@
   SleepUntil(withdrawn_at + kConfigSeconds);
   status = CallWithKey(gateway, 1);
   Record::Line("the key is withdrawn: status " + std::to_string(status));
-  if (status != 401) return 2;
+  if (status != 401) Finish(2);
   SleepUntil(kTurnAwayAt);
   if (HasTrouble()) {
     Record::Line("the store answers the gateway 503");
@@ -109,7 +109,7 @@
   Record::Line("requests with the withdrawn key that ran: " +
                std::to_string(late_runs));
   Record::Line(late_runs > 0 ? "CONFIG broken" : "the rule held");
-  return late_runs > 0 ? 1 : 0;
+  Finish(late_runs > 0 ? 1 : 0);
 }
 
 }  // namespace
@@ -118,5 +118,5 @@
 int main(int argc, char** argv) {
   if (argc < 2) return 2;
   review::Record::Open(argv[1]);
-  return review::Run();
+  review::Run();
 }
