--- a/tests/processes/gateway_fleet.cc
+++ b/tests/processes/gateway_fleet.cc
@@ -81,10 +81,10 @@
   this->Register(name, "ready");
 }
 
-std::string GatewayFleet::AddOwnServer(const std::string& name) {
+std::string GatewayFleet::AddOwnServer(const std::string& name, int slots) {
   const std::string address = this->AllocateAddress(name);
   this->starts[name] = ++this->writes;
-  this->Register(name, "ready");
+  this->Register(name, "ready", slots);
   return address;
 }
 
@@ -97,12 +97,13 @@
   });
 }
 
-void GatewayFleet::Register(const std::string& name, const std::string& state) {
+void GatewayFleet::Register(const std::string& name, const std::string& state,
+                            int slots) {
   this->Write("servers/" + name, json{{"service", "model"},
                                       {"address", this->Address(name)},
                                       {"zone", "d0"},
                                       {"version", "v1"},
-                                      {"slots", 8},
+                                      {"slots", slots},
                                       {"state", state},
                                       {"warmupLeftMs", 0},
                                       {"sequence", ++this->writes},
@@ -122,7 +123,8 @@
           "\nresolve=" + this->Address(name + "-resolve") +
           "\npatience_ms=100\nwatch_ms=" + std::to_string(this->watch_ms) +
           "\n[gateway]\nlisten=" + this->Address(name) +
-          "\naddress=" + this->Address(name) + "\nretry_slack=1000\n");
+          "\naddress=" + this->Address(name) + "\nretry_slack=1000\n" +
+          this->gateway_settings);
   this->links += this->Address(name + "-link") + ",";
   this->StartGateway(name);
 }
--- a/tests/processes/gateway_fleet.h
+++ b/tests/processes/gateway_fleet.h
@@ -8,6 +8,9 @@
 
 namespace banyanlane::processes {
 
+/// Number of requests that a server serves at a time, if nothing else is set.
+inline constexpr int kSlots = 8;
+
 /// Gateways that call servers directly, with stand-ins of the store and of the
 /// servers.
 class GatewayFleet : public Fleet {
@@ -30,13 +33,15 @@
   /// Starts a server and registers it in the store.
   void AddServer(const std::string& name);
   /// Registers a server that the test itself runs.
+  /// @param slots number of requests that it serves at a time.
   /// @return the address at which it must listen.
-  std::string AddOwnServer(const std::string& name);
+  std::string AddOwnServer(const std::string& name, int slots = kSlots);
   /// Starts the process of a server that AddServer has set up.
   void StartServer(const std::string& name);
   /// Registers a server in the store.
   /// @param state state of the server in its entry, such as "ready".
-  void Register(const std::string& name, const std::string& state);
+  void Register(const std::string& name, const std::string& state,
+                int slots = kSlots);
 
   /// Sets the longest wait of the watches of gateways that are added later.
   void SetWatchMillis(int millis) { this->watch_ms = millis; }
@@ -79,6 +84,9 @@
   /// Returns how many requests the server has begun to run since its start.
   int RunCount(const std::string& server);
 
+  /// Lines of the settings files of gateways that are added later.
+  std::string gateway_settings;
+
  private:
   http::HttpRequest MakePost(const std::string& path, const std::string& body,
                              const http::Headers& headers);
--- a/tests/processes/process_usage.cc
+++ b/tests/processes/process_usage.cc
@@ -38,6 +38,11 @@
          kBytesPerKilobyte;
 }
 
+std::uint64_t PeakResidentBytes(pid_t pid) {
+  return StatusField(ProcessPath(pid) + "/status", "VmHWM", kDecimal) *
+         kBytesPerKilobyte;
+}
+
 std::vector<std::uint64_t> BlockedSignals(pid_t pid) {
   std::vector<std::uint64_t> masks;
   for (const auto& thread :
