Limit what frames a chunked body, and its trailer section

Callers saw: connections that failed when the process ran out of memory. Twenty clients whose chunked body was followed by trailer fields without end, by one such field, or by an extension of a chunk, made a gateway grow to 335 MB at every listener that speaks HTTP; an entry and a rank agent did the same. Cause: the parser needs a line before a chunk and the whole trailer section in the read buffer, which had no limit. Limits counted the head and the body only. Change: the buffer holds no more than the largest head and a margin, so that a longer trailer section or line is refused with 431; what frames a body may be as long as a head, and [http] chunk_overhead (16) times the body in addition, and is refused with 400 beyond. Chunks of one byte have an overhead of five. Why it works: nothing between the head and the end of a request is stored outside the buffer and the body, and both have limits for each connection, whose number is limited.

--- a/src/http/http_module.cc
+++ b/src/http/http_module.cc
@@ -46,6 +46,8 @@
   capacity.body_bytes =
       static_cast<std::uint64_t>(settings.Integer("http", "memory_mb")) *
       kMegabyte / kBodyMemoryDivisor;
+  capacity.chunk_overhead =
+      static_cast<std::uint32_t>(settings.Integer("http", "chunk_overhead"));
   return capacity;
 }
 
@@ -77,7 +79,10 @@
        "Maximum number of file descriptors; 0 uses the limit of the process."},
       {"http", "memory_mb", SettingKind::kInteger, "256", false, 16, 1'000'000,
        "Memory of the process in MB; an eighth is available for request "
-       "bodies."}},
+       "bodies."},
+      {"http", "chunk_overhead", SettingKind::kInteger, "16", false, 5, 1'000,
+       "Maximum number of bytes that frame one byte of a chunked request body, "
+       "on average."}},
      [] { return std::make_unique<HttpModule>(); }});
 
 }  // namespace
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -97,6 +97,9 @@
   std::size_t connections = 4'096;
   /// Maximum memory for the bodies of all requests in progress, in bytes.
   std::uint64_t body_bytes = std::uint64_t{64} * 1024 * 1024;
+  /// Maximum number of bytes that frame one byte of a chunked body, on average.
+  /// The trailer section may have as many as a head in addition.
+  std::uint32_t chunk_overhead = 16;
 };
 
 /// Result of opening a connection only to see whether it is accepted.
--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -22,6 +22,10 @@
 /// Minimum amount of memory that is reserved at a time for a body of unknown
 /// length.
 constexpr std::uint64_t kBodyIncrementBytes = std::uint64_t{64} * 1024;
+/// Space in the read buffer beyond the largest head.
+constexpr std::size_t kBufferMarginBytes = std::size_t{4} * 1024;
+/// Minimum size of the read buffer, which also takes pipelined requests.
+constexpr std::size_t kMinBufferBytes = std::size_t{20} * 1024;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Cancels the reads of a stream at a deadline without closing the socket. The
@@ -62,7 +66,10 @@
   if (failure == error::end_of_stream ||
       failure == asio::error::operation_aborted)
     return 0;
-  if (failure == error::header_limit) return 431;
+  // What the parser can't consume in parts is a head, a line before a chunk or
+  // the trailer section.
+  if (failure == error::header_limit || failure == error::buffer_overflow)
+    return 431;
   if (failure == error::body_limit) return 413;
   if (failure == beast::error::timeout || failure == error::partial_message)
     return 408;
@@ -203,13 +210,18 @@
 
 std::optional<CallerConnection::Refusal> CallerConnection::ReadBody(
     RequestParser& parser, BodyBudget::Allocation& allocation,
-    asio::yield_context yield) {
+    const ServerLimits& limits, asio::yield_context yield) {
   beast::error_code failure;
+  std::uint64_t consumed_bytes = 0;
   while (!parser.is_done()) {
-    beast::http::async_read_some(this->stream, this->buffer, parser,
-                                 yield[failure]);
+    consumed_bytes += beast::http::async_read_some(this->stream, this->buffer,
+                                                   parser, yield[failure]);
     if (failure) return Refusal{StatusForReadError(failure), failure.message()};
     const std::uint64_t received_bytes = parser.get().body().size();
+    const std::uint64_t max_framing_bytes =
+        limits.header_bytes + received_bytes * this->server->chunk_overhead();
+    if (consumed_bytes > received_bytes + max_framing_bytes)
+      return Refusal{400, "chunk_framing"};
     if (received_bytes > allocation.bytes() &&
         !allocation.Extend(
             std::max(kBodyIncrementBytes, received_bytes - allocation.bytes())))
@@ -221,6 +233,9 @@
 std::optional<CallerConnection::Refusal> CallerConnection::ReadRequest(
     RequestParser& parser, BodyBudget::Allocation& allocation,
     const ServerLimits& limits, asio::yield_context yield) {
+  this->buffer.max_size(
+      std::max<std::size_t>({limits.header_bytes + kBufferMarginBytes,
+                             kMinBufferBytes, this->buffer.size()}));
   parser.header_limit(limits.header_bytes);
   parser.body_limit(limits.body_bytes);
   const kernel::TimePoint until =
@@ -247,7 +262,7 @@
         asio::buffer(kContinueResponse.data(), kContinueResponse.size()),
         yield[failure]);
   }
-  auto refusal = this->ReadBody(parser, allocation, yield);
+  auto refusal = this->ReadBody(parser, allocation, limits, yield);
   if (refusal && deadline.HasExpired())
     return Refusal{StatusForReadError(beast::error::timeout),
                    make_error_code(beast::error::timeout).message()};
--- a/src/http/internal/caller_connection.h
+++ b/src/http/internal/caller_connection.h
@@ -62,11 +62,13 @@
                                      const ServerLimits& limits,
                                      asio::yield_context yield);
   /// Reads the body. Extends `allocation` if the body exceeds it, which only
-  /// happens with a chunked body.
+  /// happens with a chunked body. The trailer section of such a body and what
+  /// frames its chunks are limited as well.
   /// @return the reason for refusing the request, or nullopt if the body was
   /// read completely.
   std::optional<Refusal> ReadBody(RequestParser& parser,
                                   BodyBudget::Allocation& allocation,
+                                  const ServerLimits& limits,
                                   asio::yield_context yield);
   /// Reserves memory for a body, waiting until `until` if necessary.
   /// @return the memory, or nullopt if it exceeds the whole budget or did not
--- a/src/http/internal/http_runtime.cc
+++ b/src/http/internal/http_runtime.cc
@@ -46,7 +46,8 @@
  public:
   explicit HttpRuntime(const ServerCapacity& capacity)
       : resources{std::make_shared<ConnectionTracker>(capacity.connections),
-                  std::make_shared<BodyBudget>(capacity.body_bytes)} {}
+                  std::make_shared<BodyBudget>(capacity.body_bytes),
+                  capacity.chunk_overhead} {}
   ~HttpRuntime() override { this->Stop(); }
 
   kernel::Result<std::shared_ptr<IHttpServer>> Listen(
--- a/src/http/internal/http_server.h
+++ b/src/http/internal/http_server.h
@@ -18,6 +18,8 @@
 struct SharedResources {
   std::shared_ptr<ConnectionTracker> tracker;
   std::shared_ptr<BodyBudget> bodies;
+  /// See ServerCapacity.
+  std::uint32_t chunk_overhead = 0;
 };
 
 /// Server that accepts connections and passes requests to a handler.
@@ -42,6 +44,11 @@
   bool IsAccepting() const { return this->accepting; }
   ConnectionTracker& tracker() { return *this->resources.tracker; }
   BodyBudget& bodies() { return *this->resources.bodies; }
+  /// Returns the largest number of bytes that may frame one byte of a chunked
+  /// body.
+  std::uint32_t chunk_overhead() const {
+    return this->resources.chunk_overhead;
+  }
   IHttpHandler& handler() { return *this->request_handler; }
 
   /// Counts a connection that begins, or has ceased, to serve requests.
--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -176,6 +176,40 @@
   cr_expect_eq(asterisk.rfind("HTTP/1.1 400", 0), 0, "%s", asterisk.c_str());
 }
 
+// Guards against memory that a caller takes after the head of its request.
+Test(http_server, refuses_a_trailer_section_larger_than_a_head) {
+  const Fixture fixture;
+  const std::string head =
+      "POST /a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+      "transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
+  const std::string field = "note: " + std::string(1'000, 'x') + "\r\n";
+  std::string fields;
+  for (int i = 0; i < 10; ++i) fields += field;
+  cr_expect_neq(fixture.SendAndReadAll(head + fields + "\r\n").find(" 200 "),
+                std::string::npos);
+  for (int i = 0; i < 20; ++i) fields += field;
+  cr_expect_neq(fixture.SendAndReadAll(head + fields).find(" 431 "),
+                std::string::npos);
+}
+
+// Guards against processor time that a caller takes with what frames a body.
+Test(http_server, refuses_a_body_that_consists_of_chunk_framing) {
+  const Fixture fixture;
+  const std::string head =
+      "POST /a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+      "transfer-encoding: chunked\r\n\r\n";
+  std::string small_chunks;
+  std::string long_extensions;
+  for (int i = 0; i < 20'000; ++i) small_chunks += "1\r\nx\r\n";
+  for (int i = 0; i < 100; ++i)
+    long_extensions += "1;a=" + std::string(1'000, 'a') + "\r\nx\r\n";
+  cr_expect_neq(fixture.SendAndReadAll(head + small_chunks + "0\r\n\r\n")
+                    .find("body=20000"),
+                std::string::npos);
+  cr_expect_neq(fixture.SendAndReadAll(head + long_extensions).find(" 400 "),
+                std::string::npos);
+}
+
 Test(http_server, sends_100_continue_to_a_waiting_caller) {
   const Fixture fixture;
   const RawCaller caller(fixture.server->port());
