Take the header fields of a request from its head only

Cause: the fields were copied after the body had been read, when the parser had added the trailer section to them. Change: the head is copied before the body is read; RFC 9110, section 6.5.1, lets a recipient ignore trailer fields. The parser, which also holds all fields, is freed before the request is handled. Evidence: http_server::ignores_trailer_fields failed before. Why it works: nothing reads the parser's fields after the head is complete.

--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -231,8 +231,9 @@
 }
 
 std::optional<CallerConnection::Refusal> CallerConnection::ReadRequest(
-    RequestParser& parser, BodyBudget::Allocation& allocation,
+    ReceivedRequest& received, BodyBudget::Allocation& allocation,
     const ServerLimits& limits, asio::yield_context yield) {
+  RequestParser parser;
   this->buffer.max_size(
       std::max<std::size_t>({limits.header_bytes + kBufferMarginBytes,
                              kMinBufferBytes, this->buffer.size()}));
@@ -246,6 +247,10 @@
                                  yield[failure]);
   if (deadline.HasExpired()) failure = beast::error::timeout;
   if (failure) return Refusal{StatusForReadError(failure), failure.message()};
+  // The parser adds trailer fields to those of the head, which must not be
+  // changed by them (RFC 9110, section 6.5.1).
+  received.message = this->ExtractHead(parser.get());
+  received.keep_alive = parser.get().keep_alive();
   if (const auto framing_error = FindFramingError(parser.get()))
     return Refusal{framing_error->status, std::string(framing_error->reason)};
   if (this->admission == Admission::kRefuse)
@@ -263,20 +268,18 @@
         yield[failure]);
   }
   auto refusal = this->ReadBody(parser, allocation, limits, yield);
+  received.message.body = std::move(parser.get().body());
   if (refusal && deadline.HasExpired())
     return Refusal{StatusForReadError(beast::error::timeout),
                    make_error_code(beast::error::timeout).message()};
   return refusal;
 }
 
-HttpRequest CallerConnection::ExtractRequest(RequestParser& parser) {
+HttpRequest CallerConnection::ExtractHead(const RequestHead& head) {
   HttpRequest request;
-  if (!parser.is_header_done()) return request;
-  auto& message = parser.get();
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  request.headers = CopyFields(message);
-  request.body = std::move(message.body());
+  request.method = std::string(head.method_string());
+  request.target = std::string(head.target());
+  request.headers = CopyFields(head);
   request.peer = RemoteAddressOf(this->stream);
   const auto parts = SplitTarget(request.target);
   if (!parts) return request;
@@ -306,17 +309,17 @@
 CallerConnection::NextStep CallerConnection::ServeRequest(
     asio::yield_context yield) {
   const ServerLimits limits = this->server->CurrentLimits();
-  RequestParser parser;
+  ReceivedRequest received;
   BodyBudget::Allocation allocation;
   this->stream.expires_never();
-  auto refusal = this->ReadRequest(parser, allocation, limits, yield);
-  HttpRequest request = this->ExtractRequest(parser);
+  auto refusal = this->ReadRequest(received, allocation, limits, yield);
+  HttpRequest& request = received.message;
   const bool is_origin_form =
       !request.target.empty() && request.target[0] == '/';
   if (!refusal && !is_origin_form) refusal = Refusal{400, "target"};
   if (refusal) return this->SendRefusal(*refusal, request, limits, yield);
   HttpExchange exchange(this->stream, this->buffer, this->strand, yield,
-                        std::move(request), limits, parser.get().keep_alive());
+                        std::move(request), limits, received.keep_alive);
   if (!this->server->IsAccepting()) exchange.CloseAfterResponse();
   this->server->Handle(exchange);
   this->stream.expires_never();
--- a/src/http/internal/caller_connection.h
+++ b/src/http/internal/caller_connection.h
@@ -6,6 +6,7 @@
 #include "http/internal/asio_http.h"
 #include "http/internal/body_budget.h"
 #include "http/internal/connection_tracker.h"
+#include "http/internal/request_framing.h"
 
 namespace banyanlane::http {
 
@@ -40,6 +41,11 @@
     bool is_overload = false;
   };
 
+  struct ReceivedRequest {
+    HttpRequest message;
+    bool keep_alive = false;  ///< The caller keeps the connection open.
+  };
+
   /// What follows a request.
   enum class NextStep {
     kAwaitRequest,
@@ -56,8 +62,9 @@
   /// Serves one request.
   NextStep ServeRequest(asio::yield_context yield);
   /// Reads one request.
+  /// @param received receives what was read of it. Trailer fields are ignored.
   /// @return the reason for refusing it, or nullopt if it was read completely.
-  std::optional<Refusal> ReadRequest(RequestParser& parser,
+  std::optional<Refusal> ReadRequest(ReceivedRequest& received,
                                      BodyBudget::Allocation& allocation,
                                      const ServerLimits& limits,
                                      asio::yield_context yield);
@@ -81,7 +88,8 @@
   /// the connection or takes nothing for a time. Closing the socket with unread
   /// input would reset the connection, and the caller could lose the response.
   void DiscardInput(asio::yield_context yield);
-  HttpRequest ExtractRequest(RequestParser& parser);
+  /// Returns the request without its body.
+  HttpRequest ExtractHead(const RequestHead& head);
 
   Strand strand;
   StrandStream stream;
--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -192,6 +192,18 @@
                 std::string::npos);
 }
 
+// Guards against trailer fields that change a head which was checked before.
+Test(http_server, ignores_trailer_fields) {
+  const Fixture fixture;
+  const std::string response = fixture.SendAndReadAll(
+      "POST /a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+      "transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+      "note: trailer\r\nhost: y\r\nconnection: keep-alive\r\n\r\n");
+  cr_expect_neq(response.find("[POST /a host=x note= body=1]"),
+                std::string::npos);
+  cr_expect_neq(response.find("Connection: close"), std::string::npos);
+}
+
 // Guards against processor time that a caller takes with what frames a body.
 Test(http_server, refuses_a_body_that_consists_of_chunk_framing) {
   const Fixture fixture;
