Limit what is read of a response and not parsed yet

Callers saw: a gateway of 353 MB, and its end where the machine has less, when 20 responses of a server were followed by trailer fields without end. Cause: as with requests, the read buffer had no limit, so that a line before a chunk and a trailer section could grow without end. Change: the buffer of a connection to a server holds 32 KB. A response that needs more fails like any other broken one. Why it works: all calls, also those to the store and to engines, read through this buffer; bodies leave it in parts.

--- a/src/http/internal/connection_cache.h
+++ b/src/http/internal/connection_cache.h
@@ -11,6 +11,10 @@
 
 namespace banyanlane::http {
 
+/// Maximum number of bytes of a response that are read but not parsed yet: a
+/// head, a line before a chunk, or the trailer section.
+inline constexpr std::size_t kMaxUnparsedBytes = std::size_t{32} * 1024;
+
 /// Connection to a server, with the data that was read but not parsed yet.
 struct HttpConnection {
   explicit HttpConnection(const Strand& strand)
@@ -18,7 +22,7 @@
 
   Strand strand;  ///< Strand that runs all operations.
   StrandStream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
 };
 
 using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
