Refuse bodies of requests to the port for links

Callers saw: the end of a gateway, a rank agent or an agent that ran out of memory. Twenty clients that sent a body to the port for links made them grow to 351, 352 and 348 MB. Cause: the library of websockets keeps the body of a request of a handshake, up to 32 MB for each connection. Change: such requests may have no body; they are refused by their length. Evidence: misbehaving_clients::bodies_to_the_port_for_links, its like for agents and ::crowds_at_a_rank_agent failed before. Why it works: a handshake is a GET, whose body nothing reads.

--- a/src/link/internal/ws_hub.cc
+++ b/src/link/internal/ws_hub.cc
@@ -79,6 +79,8 @@
   endpoint.clear_error_channels(websocketpp::log::elevel::all);
   endpoint.init_asio(&this->io);
   endpoint.set_max_message_size(this->shared->limits.max_frame_bytes);
+  // The requests of the handshake have no body.
+  endpoint.set_max_http_body_size(0);
   endpoint.set_open_handshake_timeout(
       this->shared->limits.handshake_timeout.count());
   endpoint.set_close_handshake_timeout(
