Limit frames to 64 KB until the peer has introduced itself

Callers saw: a gateway of 152 MB, and its end on a smaller machine, when 20 connections to its port for links announced a frame of 7 MB and sent it. Cause: the limit of 8 MB for a frame held from the start of a connection, and a frame is kept until it is complete. Change: until a peer's Hello has been accepted, a frame may have 64 KB. Why it works: a Hello has some hundred bytes, and the limit rises before the next frame is read.

--- a/src/link/internal/ws_hub.cc
+++ b/src/link/internal/ws_hub.cc
@@ -78,7 +78,7 @@
   endpoint.clear_access_channels(websocketpp::log::alevel::all);
   endpoint.clear_error_channels(websocketpp::log::elevel::all);
   endpoint.init_asio(&this->io);
-  endpoint.set_max_message_size(this->shared->limits.max_frame_bytes);
+  endpoint.set_max_message_size(this->shared->limits.max_hello_bytes);
   // The requests of the handshake have no body.
   endpoint.set_max_http_body_size(0);
   endpoint.set_open_handshake_timeout(
@@ -119,8 +119,14 @@
         session->OnOpen(this->security.PeerName(*open), kernel::Clock::now());
       });
   connection->set_message_handler(
-      [session](const Handle&, const typename Endpoint::message_ptr& message) {
+      [this, session, weak = std::weak_ptr(connection)](
+          const Handle&, const typename Endpoint::message_ptr& message) {
+        const bool was_up = session->IsUp();
         session->OnFrame(message->get_payload(), kernel::Clock::now());
+        if (was_up || !session->IsUp()) return;
+        const auto open = weak.lock();
+        if (open)
+          open->set_max_message_size(this->shared->limits.max_frame_bytes);
       });
   const auto on_closed = [this, session](const Handle&) {
     session->OnClosed(kernel::Clock::now());
