Limit the connections that others open to the port for links

Callers saw: connections that failed for want of descriptors. 600 clients that sent one byte to the port for links took 619 descriptors of a gateway that was set to use 400. Cause: the port accepted any number of connections, each for up to 2 s, beside the limits of the servers of requests. Beyond it the oldest connection whose handshake is not complete is closed, so that a peer still gets in. Why it works: the count is taken when a connection is accepted, before the handshake and TLS, and closed ones leave it with their memory.

--- a/src/http/http_module.cc
+++ b/src/http/http_module.cc
@@ -1,9 +1,7 @@
-#include <sys/resource.h>
-
-#include <algorithm>
 #include <memory>
 
 #include "http/i_http_runtime.h"
+#include "kernel/descriptors.h"
 #include "kernel/module_registry.h"
 
 namespace banyanlane::http {
@@ -12,13 +10,8 @@
 using kernel::Role;
 using kernel::SettingKind;
 
-/// Descriptors reserved for files, pipes and libraries.
-constexpr std::uint64_t kReservedDescriptors = 200;
-/// Number of descriptors that is assumed if the setting or the limit of the
-/// process is lower, or if the limit is unknown.
-constexpr std::uint64_t kMinDescriptors = 400;
-/// Fraction of the other descriptors that caller connections may use. The rest
-/// is for forwarded requests, which need a second socket, and for links.
+/// Fraction of the descriptors for sockets that caller connections may use. The
+/// rest is for forwarded requests, which need a second socket, and for links.
 constexpr double kCallerSocketFraction = 0.75;
 /// The bodies of requests may use the memory of the process divided by this
 /// number. A body is stored twice while it is forwarded, and the rest of the
@@ -26,22 +19,10 @@
 constexpr std::uint64_t kBodyMemoryDivisor = 8;
 constexpr std::uint64_t kMegabyte = std::uint64_t{1024} * 1024;
 
-/// Returns the configured maximum number of descriptors, or the limit of the
-/// process if none is configured.
-std::uint64_t DescriptorsOf(const kernel::Settings& settings) {
-  const std::int64_t configured = settings.Integer("http", "descriptors");
-  if (configured > 0) return static_cast<std::uint64_t>(configured);
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return kMinDescriptors;
-  return std::max<std::uint64_t>(limit.rlim_cur, kMinDescriptors);
-}
-
 ServerCapacity ReadCapacity(const kernel::Settings& settings) {
-  const std::uint64_t descriptors =
-      std::max(DescriptorsOf(settings), kMinDescriptors);
   ServerCapacity capacity;
   capacity.connections = static_cast<std::size_t>(
-      static_cast<double>(descriptors - kReservedDescriptors) *
+      static_cast<double>(kernel::SocketDescriptors(settings)) *
       kCallerSocketFraction);
   capacity.body_bytes =
       static_cast<std::uint64_t>(settings.Integer("http", "memory_mb")) *
--- a/src/link/i_link.h
+++ b/src/link/i_link.h
@@ -55,6 +55,8 @@
   kernel::Millis close_timeout{200};
   /// The same for all links together when the process stops.
   kernel::Millis stop_timeout{600};
+  /// Maximum number of open connections that other processes have opened.
+  std::size_t max_accepted = 512;
   /// Maximum size of a frame before the peer's Hello.
   std::size_t max_hello_bytes = std::size_t{64} * 1024;
   std::size_t max_frame_bytes = std::size_t{8} * 1024 * 1024;
--- a/src/link/internal/ws_hub.cc
+++ b/src/link/internal/ws_hub.cc
@@ -58,13 +58,16 @@
 WsHub<Security>::WsHub(const LinkLimits& limits, Security security,
                        const std::shared_ptr<kernel::Metrics>& metrics)
     : security(std::move(security)),
-      shared(std::make_shared<SharedSessionState>()) {
+      shared(std::make_shared<SharedSessionState>()),
+      accepted(limits.max_accepted) {
   this->shared->limits = limits;
   this->shared->metrics = metrics;
   this->Configure(this->server);
   this->Configure(this->client);
   this->server.set_reuse_addr(true);
   this->server.set_listen_backlog(kListenBacklog);
+  this->server.set_tcp_pre_init_handler(
+      [this](const Handle& handle) { this->OnAccepted(handle); });
 }
 
 template <typename Security>
@@ -120,10 +123,11 @@
       });
   connection->set_message_handler(
       [this, session, weak = std::weak_ptr(connection)](
-          const Handle&, const typename Endpoint::message_ptr& message) {
+          const Handle& handle, const typename Endpoint::message_ptr& message) {
         const bool was_up = session->IsUp();
         session->OnFrame(message->get_payload(), kernel::Clock::now());
         if (was_up || !session->IsUp()) return;
+        this->accepted.OnHandshake(handle);
         const auto open = weak.lock();
         if (open)
           open->set_max_message_size(this->shared->limits.max_frame_bytes);
@@ -171,6 +175,18 @@
   return this->server.get_local_endpoint(ignored).port();
 }
 
+template <typename Security>
+void WsHub<Security>::OnAccepted(const Handle& handle) {
+  const auto surplus = this->accepted.Add(handle);
+  if (!surplus) return;
+  websocketpp::lib::error_code unknown;
+  const auto connection = this->server.get_con_from_hdl(*surplus, unknown);
+  if (!connection) return;
+  // Its pending read fails, which ends the connection.
+  boost::system::error_code ignored;
+  connection->get_raw_socket().close(ignored);
+}
+
 template <typename Security>
 void WsHub<Security>::SetTargets(const std::vector<std::string>& addresses) {
   std::vector<std::shared_ptr<LinkSession>> unwanted;
--- a/src/link/internal/ws_hub.h
+++ b/src/link/internal/ws_hub.h
@@ -13,6 +13,7 @@
 #include <websocketpp/client.hpp>
 #include <websocketpp/server.hpp>
 
+#include "link/internal/accepted_connections.h"
 #include "link/internal/link_session.h"
 
 namespace banyanlane::link {
@@ -55,6 +56,9 @@
   void SetHandlers(Endpoint& endpoint,
                    const typename Endpoint::connection_ptr& connection,
                    const std::shared_ptr<LinkSession>& session);
+  /// Counts a connection that was accepted, and closes one if there are too
+  /// many.
+  void OnAccepted(const Handle& handle);
   /// Closes all links and accepts no further ones.
   void CloseAll();
   void ScheduleTick();
@@ -73,6 +77,7 @@
   std::shared_ptr<SharedSessionState> shared;
   Server server;
   Client client;
+  AcceptedConnections accepted;  ///< Used by the thread only.
   std::thread thread;
   mutable std::mutex mutex;
   std::vector<std::shared_ptr<LinkSession>> sessions;
--- a/src/link/link_module.cc
+++ b/src/link/link_module.cc
@@ -1,6 +1,7 @@
 #include <memory>
 #include <stdexcept>
 
+#include "kernel/descriptors.h"
 #include "kernel/metrics.h"
 #include "kernel/module_registry.h"
 #include "link/internal/link_security.h"
@@ -12,6 +13,10 @@
 using kernel::Role;
 using kernel::SettingKind;
 
+/// Connections that other processes open may use the descriptors for sockets
+/// divided by this number, if no maximum is set.
+constexpr std::uint64_t kAcceptedDivisor = 8;
+
 /// Returns a hub with plain or TLS links, as configured.
 /// @throws std::runtime_error when the certificates can't be loaded.
 std::shared_ptr<ILinkHub> MakeHub(
@@ -32,6 +37,14 @@
       limits, std::get<TlsSecurity>(std::move(security)), metrics);
 }
 
+/// Returns the maximum number of connections that other processes may open.
+std::size_t MaxAccepted(const kernel::Settings& settings) {
+  const std::int64_t configured = settings.Integer("link", "max_accepted");
+  if (configured > 0) return static_cast<std::size_t>(configured);
+  return static_cast<std::size_t>(kernel::SocketDescriptors(settings) /
+                                  kAcceptedDivisor);
+}
+
 /// Exports ILinkHub and runs its thread.
 class LinkModule : public kernel::IModule {
  public:
@@ -41,6 +54,7 @@
         kernel::Millis(context.settings().Integer("link", "heartbeat_ms"));
     limits.missed_heartbeats =
         static_cast<int>(context.settings().Integer("link", "misses"));
+    limits.max_accepted = MaxAccepted(context.settings());
     this->hub =
         MakeHub(limits, context.settings(), context.Resolve<kernel::Metrics>());
     context.Export<ILinkHub>(this->hub);
@@ -61,6 +75,9 @@
        "Milliseconds between heartbeats to a peer."},
       {"link", "misses", SettingKind::kInteger, "3", false, 2, 20,
        "Number of missed heartbeats after which a link counts as silent."},
+      {"link", "max_accepted", SettingKind::kInteger, "0", false, 0, 1'000'000,
+       "Maximum number of open connections that other processes have opened; 0 "
+       "uses an eighth of the descriptors."},
       {"tls", "certificate", SettingKind::kText, "", false, 0, 0,
        "File with this node's certificate; its common name is the node's id."},
       {"tls", "key", SettingKind::kText, "", false, 0, 0,
