Let a connection with an incomplete request give way to a new one

Callers saw: connections that were not accepted while others held all places with one byte of a request, at any listener of the process. With time to read of 60 s a request beside such a crowd had no answer within 25 s. Cause: at the limit of connections only idle ones were closed. One byte makes a connection busy until the time to read a request is over. Change: at the limit the connection that has waited for its caller for the longest time gives way: idle ones first, then incomplete requests and finished connections that the caller keeps open, then those that have just become idle, whose caller may be about to send its first request, then responses of which the caller has taken nothing for [http] patience_ms (2 s). Nothing is closed below the limit of connections. Why it works: an ordinary request arrives whole, so that it is never the one that has been incomplete for the longest time.

--- a/src/http/http_module.cc
+++ b/src/http/http_module.cc
@@ -63,7 +63,10 @@
        "bodies."},
       {"http", "chunk_overhead", SettingKind::kInteger, "16", false, 5, 1'000,
        "Maximum number of bytes that frame one byte of a chunked request body, "
-       "on average."}},
+       "on average."},
+      {"http", "patience_ms", SettingKind::kInteger, "2000", false, 100, 60'000,
+       "Milliseconds for which a caller may take nothing before its connection "
+       "gives way to others that need it."}},
      [] { return std::make_unique<HttpModule>(); }});
 
 }  // namespace
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -100,6 +100,9 @@
   /// Maximum number of bytes that frame one byte of a chunked body, on average.
   /// The trailer section may have as many as a head in addition.
   std::uint32_t chunk_overhead = 16;
+  /// Time for which a caller may take nothing of a response before its
+  /// connection gives way to others.
+  kernel::Millis patience{2'000};
 };
 
 /// Result of opening a connection only to see whether it is accepted.
--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -124,9 +124,9 @@
 void CallerConnection::AwaitRequest() {
   const kernel::Millis idle_timeout(
       this->server->CurrentLimits().idle_timeout_ms);
-  this->idle_ticket =
-      this->server->tracker().AddIdle(this->weak_from_this(), *this->server,
-                                      kernel::Clock::now() + idle_timeout);
+  const kernel::TimePoint now = kernel::Clock::now();
+  this->idle_ticket = this->server->tracker().AddIdle(
+      this->weak_from_this(), *this->server, now, now + idle_timeout);
   // The server may have closed its idle connections just before.
   const bool must_close = !this->server->IsAccepting() &&
                           this->server->tracker().RemoveIdle(this->idle_ticket);
@@ -146,6 +146,27 @@
              [self = this->shared_from_this()] { self->stream.close(); });
 }
 
+void CallerConnection::BeginWait(CallerWait wait) {
+  this->current_wait = wait;
+  this->wait_ticket = this->server->tracker().AddWaiting(
+      wait, this->weak_from_this(), kernel::Clock::now());
+}
+
+void CallerConnection::EndWait() {
+  this->server->tracker().RemoveWaiting(this->current_wait, this->wait_ticket);
+  this->wait_ticket = 0;
+}
+
+void CallerConnection::GiveWay(std::uint64_t ticket) {
+  asio::post(this->strand, [self = this->shared_from_this(), ticket] {
+    if (self->wait_ticket == ticket) self->stream.close();
+  });
+}
+
+std::uint64_t CallerConnection::HeldBytes(CallerWait /*wait*/) const {
+  return 0;
+}
+
 void CallerConnection::OnReadable(const beast::error_code& failure) {
   const bool still_open = this->server->tracker().RemoveIdle(this->idle_ticket);
   if (failure || !still_open) return;
@@ -185,6 +206,7 @@
   const auto deadline = std::make_shared<WriteDeadline>(
       this->stream, this->strand, kMaxDiscardTime);
   deadline->Begin(kernel::Clock::now());
+  const CallerWaitScope wait(*this, CallerWait::kRequest);
   std::array<char, kDiscardBufferBytes> discarded;  // NOLINT: never read.
   while (!failure) {
     this->stream.async_read_some(asio::buffer(discarded), yield[failure]);
@@ -211,6 +233,7 @@
 std::optional<CallerConnection::Refusal> CallerConnection::ReadBody(
     RequestParser& parser, BodyBudget::Allocation& allocation,
     const ServerLimits& limits, asio::yield_context yield) {
+  const CallerWaitScope wait(*this, CallerWait::kRequest);
   beast::error_code failure;
   std::uint64_t consumed_bytes = 0;
   while (!parser.is_done()) {
@@ -243,8 +266,11 @@
       kernel::Clock::now() + kernel::Millis(limits.read_timeout_ms);
   const ReadDeadline deadline(this->stream, this->strand, until);
   beast::error_code failure;
-  beast::http::async_read_header(this->stream, this->buffer, parser,
-                                 yield[failure]);
+  {
+    const CallerWaitScope wait(*this, CallerWait::kRequest);
+    beast::http::async_read_header(this->stream, this->buffer, parser,
+                                   yield[failure]);
+  }
   if (deadline.HasExpired()) failure = beast::error::timeout;
   if (failure) return Refusal{StatusForReadError(failure), failure.message()};
   // The parser adds trailer fields to those of the head, which must not be
@@ -300,7 +326,7 @@
     HttpRequest refused;
     refused.method = request.method;
     HttpExchange exchange(this->stream, this->buffer, this->strand, yield,
-                          std::move(refused), limits, false);
+                          std::move(refused), limits, false, *this);
     exchange.Reply(response);
   }
   return NextStep::kFinish;
@@ -319,7 +345,7 @@
   if (!refusal && !is_origin_form) refusal = Refusal{400, "target"};
   if (refusal) return this->SendRefusal(*refusal, request, limits, yield);
   HttpExchange exchange(this->stream, this->buffer, this->strand, yield,
-                        std::move(request), limits, received.keep_alive);
+                        std::move(request), limits, received.keep_alive, *this);
   if (!this->server->IsAccepting()) exchange.CloseAfterResponse();
   this->server->Handle(exchange);
   this->stream.expires_never();
--- a/src/http/internal/caller_connection.h
+++ b/src/http/internal/caller_connection.h
@@ -6,6 +6,7 @@
 #include "http/internal/asio_http.h"
 #include "http/internal/body_budget.h"
 #include "http/internal/connection_tracker.h"
+#include "http/internal/i_caller_waits.h"
 #include "http/internal/request_framing.h"
 
 namespace banyanlane::http {
@@ -14,7 +15,8 @@
 
 /// Server side of one connection of a caller. Allocates a coroutine and buffers
 /// only while it serves a request, so that idle connections use little memory.
-class CallerConnection : public IIdleConnection,
+class CallerConnection : public ITrackedConnection,
+                         public ICallerWaits,
                          public std::enable_shared_from_this<CallerConnection> {
  public:
   CallerConnection(asio::io_context& io, std::shared_ptr<HttpServer> server);
@@ -28,6 +30,10 @@
   void Start(Admission decision);
 
   void CloseIdle() override;
+  void GiveWay(std::uint64_t ticket) override;
+  std::uint64_t HeldBytes(CallerWait wait) const override;
+  void BeginWait(CallerWait wait) override;
+  void EndWait() override;
 
  private:
   using RequestParser = beast::http::request_parser<beast::http::string_body>;
@@ -96,6 +102,8 @@
   std::shared_ptr<HttpServer> server;
   beast::flat_buffer buffer;
   std::uint64_t idle_ticket = 0;  ///< Ticket of the latest AddIdle.
+  std::uint64_t wait_ticket = 0;  ///< Ticket of the current wait, or 0.
+  CallerWait current_wait = CallerWait::kRequest;
   bool is_counted = false;  ///< Whether the tracker counts this connection.
   Admission admission = Admission::kServe;  ///< Set by Start.
 };
--- a/src/http/internal/connection_tracker.cc
+++ b/src/http/internal/connection_tracker.cc
@@ -14,16 +14,17 @@
 
 }  // namespace
 
-ConnectionTracker::ConnectionTracker(std::size_t max_connections)
-    : max_connections(max_connections) {}
+ConnectionTracker::ConnectionTracker(std::size_t max_connections,
+                                     kernel::Millis patience)
+    : max_connections(max_connections), patience(patience) {}
 
-Admission ConnectionTracker::Admit() {
+Admission ConnectionTracker::Admit(kernel::TimePoint now) {
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     ++this->open;
     if (this->open <= this->max_connections) return Admission::kServe;
   }
-  return this->CloseNextIdle() ? Admission::kServe : Admission::kRefuse;
+  return this->MakeRoom(now) ? Admission::kServe : Admission::kRefuse;
 }
 
 void ConnectionTracker::Remove() {
@@ -31,20 +32,24 @@
   --this->open;
 }
 
-bool ConnectionTracker::IsFull() const {
+bool ConnectionTracker::IsFull(kernel::TimePoint now) const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const std::size_t refused =
       std::max(kMinRefused, this->max_connections / kRefusedDivisor);
-  return this->idle.empty() && this->open >= this->max_connections + refused;
+  const bool can_make_room =
+      !this->idle.empty() || !this->request_waits.empty() ||
+      (!this->response_waits.empty() &&
+       this->response_waits.begin()->second.since <= now - this->patience);
+  return !can_make_room && this->open >= this->max_connections + refused;
 }
 
 std::uint64_t ConnectionTracker::AddIdle(
-    std::weak_ptr<IIdleConnection> connection, const IHttpServer& server,
-    kernel::TimePoint until) {
+    std::weak_ptr<ITrackedConnection> connection, const IHttpServer& server,
+    kernel::TimePoint since, kernel::TimePoint until) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const std::uint64_t ticket = ++this->last_ticket;
   this->idle_ends[ticket] = until;
-  this->idle[{until, ticket}] = {std::move(connection), &server};
+  this->idle[{until, ticket}] = {std::move(connection), &server, since};
   return ticket;
 }
 
@@ -57,7 +62,7 @@
   return true;
 }
 
-std::shared_ptr<IIdleConnection> ConnectionTracker::RemoveNextIdle(
+std::shared_ptr<ITrackedConnection> ConnectionTracker::RemoveNextIdle(
     kernel::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   while (!this->idle.empty()) {
@@ -72,15 +77,74 @@
   return nullptr;
 }
 
-bool ConnectionTracker::CloseNextIdle() {
+std::uint64_t ConnectionTracker::AddWaiting(
+    CallerWait wait, std::weak_ptr<ITrackedConnection> connection,
+    kernel::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const std::uint64_t ticket = ++this->last_ticket;
+  this->WaitsFor(wait).emplace_hint(
+      this->WaitsFor(wait).end(), ticket,
+      WaitingConnection{std::move(connection), now});
+  return ticket;
+}
+
+void ConnectionTracker::RemoveWaiting(CallerWait wait, std::uint64_t ticket) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->WaitsFor(wait).erase(ticket);
+}
+
+std::optional<std::uint64_t> ConnectionTracker::EndLongestWait(
+    CallerWait wait, kernel::TimePoint latest) {
+  std::shared_ptr<ITrackedConnection> connection;
+  std::uint64_t ticket = 0;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    Waits& waits = this->WaitsFor(wait);
+    while (!connection) {
+      if (waits.empty() || waits.begin()->second.since > latest) return {};
+      ticket = waits.begin()->first;
+      connection = waits.begin()->second.connection.lock();
+      waits.erase(waits.begin());
+    }
+  }
+  const std::uint64_t bytes = connection->HeldBytes(wait);
+  connection->GiveWay(ticket);
+  return bytes;
+}
+
+bool ConnectionTracker::CloseNextIdle(kernel::TimePoint latest) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const bool is_idle_since_then =
+        !this->idle.empty() && this->idle.begin()->second.since <= latest;
+    if (!is_idle_since_then) return false;
+  }
   const auto next = this->RemoveNextIdle(kernel::TimePoint::max());
   if (!next) return false;
   next->CloseIdle();
   return true;
 }
 
+bool ConnectionTracker::MakeRoom(kernel::TimePoint now) {
+  const kernel::TimePoint latest = now - this->patience;
+  return this->CloseNextIdle(latest) ||
+         this->EndLongestWait(CallerWait::kRequest, now).has_value() ||
+         this->CloseNextIdle(now) ||
+         this->EndLongestWait(CallerWait::kResponse, latest).has_value();
+}
+
+void ConnectionTracker::ReleaseMemory(CallerWait wait, std::uint64_t bytes,
+                                      kernel::TimePoint now) {
+  std::uint64_t released = 0;
+  while (released < bytes) {
+    const auto held = this->EndLongestWait(wait, now - this->patience);
+    if (!held) return;
+    released += *held;
+  }
+}
+
 void ConnectionTracker::CloseIdleOf(const IHttpServer& server) {
-  std::vector<std::shared_ptr<IIdleConnection>> closed;
+  std::vector<std::shared_ptr<ITrackedConnection>> closed;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     for (auto it = this->idle.begin(); it != this->idle.end();) {
--- a/src/http/internal/http_exchange.cc
+++ b/src/http/internal/http_exchange.cc
@@ -69,10 +69,11 @@
 HttpExchange::HttpExchange(StrandStream& stream, beast::flat_buffer& buffer,
                            const Strand& strand, asio::yield_context yield,
                            HttpRequest request, const ServerLimits& limits,
-                           bool keep_alive)
+                           bool keep_alive, ICallerWaits& waits)
     : stream(stream),
       buffer(buffer),
       yield(yield),
+      waits(waits),
       received(std::move(request)),
       is_head(received.method == kHeadMethod),
       write_deadline(std::make_shared<WriteDeadline>(
@@ -105,6 +106,7 @@
   beast::error_code failure;
   {
     const absl::Cleanup on_end = [this] { this->write_deadline->End(); };
+    const CallerWaitScope wait(this->waits, CallerWait::kResponse);
     this->write_deadline->Begin(kernel::Clock::now());
     write_steps(failure);
   }
--- a/src/http/internal/http_runtime.cc
+++ b/src/http/internal/http_runtime.cc
@@ -45,7 +45,8 @@
 class HttpRuntime : public IHttpRuntime {
  public:
   explicit HttpRuntime(const ServerCapacity& capacity)
-      : resources{std::make_shared<ConnectionTracker>(capacity.connections),
+      : resources{std::make_shared<ConnectionTracker>(capacity.connections,
+                                                      capacity.patience),
                   std::make_shared<BodyBudget>(capacity.body_bytes),
                   capacity.chunk_overhead} {}
   ~HttpRuntime() override { this->Stop(); }
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -72,7 +72,8 @@
 }
 
 void HttpServer::Accept() {
-  if (this->resources.tracker->IsFull()) return this->AcceptAfterPause();
+  if (this->resources.tracker->IsFull(kernel::Clock::now()))
+    return this->AcceptAfterPause();
   auto connection =
       std::make_shared<CallerConnection>(this->io, this->shared_from_this());
   this->acceptor.async_accept(connection->socket(),
@@ -96,11 +97,11 @@
   this->RecordAcceptResult(failure);
   if (failure) {
     // Without a free descriptor, an immediate retry would fail as well.
-    this->resources.tracker->CloseNextIdle();
+    this->resources.tracker->MakeRoom(kernel::Clock::now());
     this->AcceptAfterPause();
     return;
   }
-  connection->Start(this->resources.tracker->Admit());
+  connection->Start(this->resources.tracker->Admit(kernel::Clock::now()));
   this->Accept();
 }
 
