Count the memory of heads, and keep bodies that do not come from holding all

Callers saw: (1) no answer to a request with a body of 2 KB beside 40 clients that claimed a body of 4 MB and sent one byte; (2) a gateway of 155 MB, and its end on a smaller machine, when 130 requests with 3,900 short fields each waited for a silent server. Cause: (1) bodies reserve their memory when their head has arrived, in one queue for all sizes, and kept it until the time to read a request was over; (2) the memory of heads was counted nowhere, and a field takes far more than its bytes. Heads have a budget of a sixteenth of [http] memory_mb; a request that finds no room in it is refused with 503, which is true: it has not run. The number of connections is limited by a quarter of the memory as well, at 40 KB each. The two share the budget's code, so that they come together. Why it works: what a caller holds is either counted, or bounded for each connection, whose number is bounded by the memory.

--- a/src/http/http_module.cc
+++ b/src/http/http_module.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 
 #include "http/i_http_runtime.h"
@@ -13,20 +14,28 @@
 /// Fraction of the descriptors for sockets that caller connections may use. The
 /// rest is for forwarded requests, which need a second socket, and for links.
 constexpr double kCallerSocketFraction = 0.75;
-/// The bodies of requests may use the memory of the process divided by this
-/// number. A body is stored twice while it is forwarded, and the rest of the
-/// process needs half of the memory.
+// Each of these uses may take the memory of the process divided by its number.
+// A body is stored twice while it is forwarded.
 constexpr std::uint64_t kBodyMemoryDivisor = 8;
+constexpr std::uint64_t kHeadMemoryDivisor = 16;
+constexpr std::uint64_t kConnectionMemoryDivisor = 4;
+/// Memory of a connection that receives a request: the read buffer, and the
+/// stack of its coroutine.
+constexpr std::uint64_t kConnectionBytes = std::uint64_t{40} * 1024;
 constexpr std::uint64_t kMegabyte = std::uint64_t{1024} * 1024;
 
 ServerCapacity ReadCapacity(const kernel::Settings& settings) {
-  ServerCapacity capacity;
-  capacity.connections = static_cast<std::size_t>(
-      static_cast<double>(kernel::SocketDescriptors(settings)) *
-      kCallerSocketFraction);
-  capacity.body_bytes =
+  const std::uint64_t memory =
       static_cast<std::uint64_t>(settings.Integer("http", "memory_mb")) *
-      kMegabyte / kBodyMemoryDivisor;
+      kMegabyte;
+  ServerCapacity capacity;
+  capacity.connections =
+      std::min(static_cast<std::uint64_t>(
+                   static_cast<double>(kernel::SocketDescriptors(settings)) *
+                   kCallerSocketFraction),
+               memory / kConnectionMemoryDivisor / kConnectionBytes);
+  capacity.body_bytes = memory / kBodyMemoryDivisor;
+  capacity.head_bytes = memory / kHeadMemoryDivisor;
   capacity.chunk_overhead =
       static_cast<std::uint32_t>(settings.Integer("http", "chunk_overhead"));
   return capacity;
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -100,6 +100,8 @@
   /// Maximum number of bytes that frame one byte of a chunked body, on average.
   /// The trailer section may have as many as a head in addition.
   std::uint32_t chunk_overhead = 16;
+  /// Maximum memory for the heads of all requests in progress, in bytes.
+  std::uint64_t head_bytes = std::uint64_t{16} * 1024 * 1024;
   /// Time for which a caller may take nothing of a response before its
   /// connection gives way to others.
   kernel::Millis patience{2'000};
--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -93,6 +93,21 @@
   return remote.address().to_string() + ":" + std::to_string(remote.port());
 }
 
+/// Returns the memory that the head of a request takes at most. It is copied
+/// when the request is forwarded.
+std::uint64_t MemoryOf(const HttpRequest& request) {
+  constexpr std::uint64_t kCopies = 2;
+  // The parser keeps the fields until the body is complete.
+  constexpr std::uint64_t kParserFieldBytes = 96;
+  std::uint64_t bytes = kCopies * request.target.size();
+  for (const auto& [name, value] : request.headers) {
+    bytes +=
+        kCopies * (sizeof(Headers::value_type) + name.size() + value.size()) +
+        kParserFieldBytes;
+  }
+  return bytes;
+}
+
 void SetHost(Headers& headers, const std::string& authority) {
   headers.erase(
       std::remove_if(headers.begin(), headers.end(),
@@ -164,7 +179,36 @@
 }
 
 std::uint64_t CallerConnection::HeldBytes(CallerWait /*wait*/) const {
-  return 0;
+  return this->request_bytes;
+}
+
+bool CallerConnection::CheckHeld(bool is_held, std::uint64_t bytes) {
+  this->request_bytes = this->body_memory.bytes() + this->head_memory.bytes();
+  if (!is_held) {
+    this->server->tracker().ReleaseMemory(CallerWait::kRequest, bytes,
+                                          kernel::Clock::now());
+  }
+  return is_held;
+}
+
+bool CallerConnection::ReserveHeadMemory(std::uint64_t bytes) {
+  auto allocation = this->server->heads().TryReserve(bytes);
+  if (allocation) this->head_memory = std::move(*allocation);
+  return this->CheckHeld(allocation.has_value(), bytes);
+}
+
+bool CallerConnection::HoldRequestMemory(std::uint64_t bytes) {
+  return bytes == 0 || this->CheckHeld(this->head_memory.Extend(bytes), bytes);
+}
+
+bool CallerConnection::ExtendBodyMemory(std::uint64_t bytes) {
+  return this->CheckHeld(this->body_memory.Extend(bytes), bytes);
+}
+
+void CallerConnection::ReleaseRequestMemory() {
+  this->body_memory = {};
+  this->head_memory = {};
+  this->request_bytes = 0;
 }
 
 void CallerConnection::OnReadable(const beast::error_code& failure) {
@@ -214,25 +258,31 @@
   deadline->End();
 }
 
-std::optional<BodyBudget::Allocation> CallerConnection::ReserveBodyMemory(
-    std::uint64_t bytes, kernel::TimePoint until, asio::yield_context yield) {
-  BodyBudget& budget = this->server->bodies();
-  if (!budget.CanHold(bytes)) return {};
+bool CallerConnection::ReserveBodyMemory(std::uint64_t bytes,
+                                         kernel::TimePoint until,
+                                         asio::yield_context yield) {
+  MemoryBudget& budget = this->server->bodies();
+  if (!budget.CanHold(bytes)) return false;
   auto allocation = budget.TryReserve(bytes);
-  if (allocation) return allocation;
-  const auto timer = std::make_shared<asio::steady_timer>(this->strand, until);
-  const std::uint64_t ticket =
-      budget.Enqueue(bytes, [strand = this->strand, timer] {
-        asio::post(strand, [timer] { timer->cancel(); });
-      });
-  beast::error_code ignored;
-  timer->async_wait(yield[ignored]);
-  return budget.RemoveFromQueue(ticket);
+  if (!allocation) {
+    const auto timer =
+        std::make_shared<asio::steady_timer>(this->strand, until);
+    const std::uint64_t ticket =
+        budget.Enqueue(bytes, [strand = this->strand, timer] {
+          asio::post(strand, [timer] { timer->cancel(); });
+        });
+    this->CheckHeld(false, bytes);
+    beast::error_code ignored;
+    timer->async_wait(yield[ignored]);
+    allocation = budget.RemoveFromQueue(ticket);
+  }
+  if (allocation) this->body_memory = std::move(*allocation);
+  return this->CheckHeld(allocation.has_value(), bytes);
 }
 
 std::optional<CallerConnection::Refusal> CallerConnection::ReadBody(
-    RequestParser& parser, BodyBudget::Allocation& allocation,
-    const ServerLimits& limits, asio::yield_context yield) {
+    RequestParser& parser, const ServerLimits& limits,
+    asio::yield_context yield) {
   const CallerWaitScope wait(*this, CallerWait::kRequest);
   beast::error_code failure;
   std::uint64_t consumed_bytes = 0;
@@ -245,17 +295,18 @@
         limits.header_bytes + received_bytes * this->server->chunk_overhead();
     if (consumed_bytes > received_bytes + max_framing_bytes)
       return Refusal{400, "chunk_framing"};
-    if (received_bytes > allocation.bytes() &&
-        !allocation.Extend(
-            std::max(kBodyIncrementBytes, received_bytes - allocation.bytes())))
+    const std::uint64_t reserved_bytes = this->body_memory.bytes();
+    if (received_bytes > reserved_bytes &&
+        !this->ExtendBodyMemory(
+            std::max(kBodyIncrementBytes, received_bytes - reserved_bytes)))
       return Refusal{503, "body_memory", true};
   }
   return {};
 }
 
 std::optional<CallerConnection::Refusal> CallerConnection::ReadRequest(
-    ReceivedRequest& received, BodyBudget::Allocation& allocation,
-    const ServerLimits& limits, asio::yield_context yield) {
+    ReceivedRequest& received, const ServerLimits& limits,
+    asio::yield_context yield) {
   RequestParser parser;
   this->buffer.max_size(
       std::max<std::size_t>({limits.header_bytes + kBufferMarginBytes,
@@ -281,19 +332,20 @@
     return Refusal{framing_error->status, std::string(framing_error->reason)};
   if (this->admission == Admission::kRefuse)
     return Refusal{503, "connections", true};
+  if (!this->ReserveHeadMemory(MemoryOf(received.message)))
+    return Refusal{503, "request_memory", true};
   if (parser.is_done()) return {};
   const std::uint64_t bytes =
-      parser.content_length() ? *parser.content_length() : kBodyIncrementBytes;
-  auto reserved = this->ReserveBodyMemory(bytes, until, yield);
-  if (!reserved) return Refusal{503, "body_memory", true};
-  allocation = std::move(*reserved);
+      parser.content_length().value_or(kBodyIncrementBytes);
+  if (!this->ReserveBodyMemory(bytes, until, yield))
+    return Refusal{503, "body_memory", true};
   if (WaitsForContinue(parser.get())) {
     asio::async_write(
         this->stream,
         asio::buffer(kContinueResponse.data(), kContinueResponse.size()),
         yield[failure]);
   }
-  auto refusal = this->ReadBody(parser, allocation, limits, yield);
+  auto refusal = this->ReadBody(parser, limits, yield);
   received.message.body = std::move(parser.get().body());
   if (refusal && deadline.HasExpired())
     return Refusal{StatusForReadError(beast::error::timeout),
@@ -335,10 +387,10 @@
 CallerConnection::NextStep CallerConnection::ServeRequest(
     asio::yield_context yield) {
   const ServerLimits limits = this->server->CurrentLimits();
+  const absl::Cleanup on_end = [this] { this->ReleaseRequestMemory(); };
   ReceivedRequest received;
-  BodyBudget::Allocation allocation;
   this->stream.expires_never();
-  auto refusal = this->ReadRequest(received, allocation, limits, yield);
+  auto refusal = this->ReadRequest(received, limits, yield);
   HttpRequest& request = received.message;
   const bool is_origin_form =
       !request.target.empty() && request.target[0] == '/';
--- a/src/http/internal/caller_connection.h
+++ b/src/http/internal/caller_connection.h
@@ -1,12 +1,13 @@
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <optional>
 
 #include "http/internal/asio_http.h"
-#include "http/internal/body_budget.h"
 #include "http/internal/connection_tracker.h"
-#include "http/internal/i_caller_waits.h"
+#include "http/internal/i_exchange_host.h"
+#include "http/internal/memory_budget.h"
 #include "http/internal/request_framing.h"
 
 namespace banyanlane::http {
@@ -16,7 +17,7 @@
 /// Server side of one connection of a caller. Allocates a coroutine and buffers
 /// only while it serves a request, so that idle connections use little memory.
 class CallerConnection : public ITrackedConnection,
-                         public ICallerWaits,
+                         public IExchangeHost,
                          public std::enable_shared_from_this<CallerConnection> {
  public:
   CallerConnection(asio::io_context& io, std::shared_ptr<HttpServer> server);
@@ -34,6 +35,7 @@
   std::uint64_t HeldBytes(CallerWait wait) const override;
   void BeginWait(CallerWait wait) override;
   void EndWait() override;
+  bool HoldRequestMemory(std::uint64_t bytes) override;
 
  private:
   using RequestParser = beast::http::request_parser<beast::http::string_body>;
@@ -71,23 +73,32 @@
   /// @param received receives what was read of it. Trailer fields are ignored.
   /// @return the reason for refusing it, or nullopt if it was read completely.
   std::optional<Refusal> ReadRequest(ReceivedRequest& received,
-                                     BodyBudget::Allocation& allocation,
                                      const ServerLimits& limits,
                                      asio::yield_context yield);
-  /// Reads the body. Extends `allocation` if the body exceeds it, which only
-  /// happens with a chunked body. The trailer section of such a body and what
-  /// frames its chunks are limited as well.
+  /// Reads the body. Reserves more memory if the body exceeds what is reserved,
+  /// which only happens with a chunked body. The trailer section of such a body
+  /// and what frames its chunks are limited as well.
   /// @return the reason for refusing the request, or nullopt if the body was
   /// read completely.
   std::optional<Refusal> ReadBody(RequestParser& parser,
-                                  BodyBudget::Allocation& allocation,
                                   const ServerLimits& limits,
                                   asio::yield_context yield);
   /// Reserves memory for a body, waiting until `until` if necessary.
-  /// @return the memory, or nullopt if it exceeds the whole budget or did not
-  /// become available in time.
-  std::optional<BodyBudget::Allocation> ReserveBodyMemory(
-      std::uint64_t bytes, kernel::TimePoint until, asio::yield_context yield);
+  /// @return false if it exceeds the whole budget or did not become available
+  /// in time.
+  bool ReserveBodyMemory(std::uint64_t bytes, kernel::TimePoint until,
+                         asio::yield_context yield);
+  /// Reserves more memory for a body without waiting.
+  /// @return false if it is not available.
+  bool ExtendBodyMemory(std::uint64_t bytes);
+  /// Reserves memory for a head.
+  /// @return false if it is not available.
+  bool ReserveHeadMemory(std::uint64_t bytes);
+  void ReleaseRequestMemory();
+  /// Updates request_bytes. Lets others give way unless `is_held`.
+  /// @param bytes what was to be reserved.
+  /// @return `is_held`.
+  bool CheckHeld(bool is_held, std::uint64_t bytes);
   NextStep SendRefusal(const Refusal& refusal, const HttpRequest& request,
                        const ServerLimits& limits, asio::yield_context yield);
   /// Shuts down sending, then reads and discards input until the caller closes
@@ -104,6 +115,10 @@
   std::uint64_t idle_ticket = 0;  ///< Ticket of the latest AddIdle.
   std::uint64_t wait_ticket = 0;  ///< Ticket of the current wait, or 0.
   CallerWait current_wait = CallerWait::kRequest;
+  MemoryBudget::Allocation body_memory;  ///< Of the current request.
+  MemoryBudget::Allocation head_memory;  ///< Of the current request.
+  /// Size of both, for other threads.
+  std::atomic<std::uint64_t> request_bytes{0};
   bool is_counted = false;  ///< Whether the tracker counts this connection.
   Admission admission = Admission::kServe;  ///< Set by Start.
 };
--- a/src/http/internal/http_exchange.cc
+++ b/src/http/internal/http_exchange.cc
@@ -69,11 +69,11 @@
 HttpExchange::HttpExchange(StrandStream& stream, beast::flat_buffer& buffer,
                            const Strand& strand, asio::yield_context yield,
                            HttpRequest request, const ServerLimits& limits,
-                           bool keep_alive, ICallerWaits& waits)
+                           bool keep_alive, IExchangeHost& host)
     : stream(stream),
       buffer(buffer),
       yield(yield),
-      waits(waits),
+      host(host),
       received(std::move(request)),
       is_head(received.method == kHeadMethod),
       write_deadline(std::make_shared<WriteDeadline>(
@@ -106,7 +106,7 @@
   beast::error_code failure;
   {
     const absl::Cleanup on_end = [this] { this->write_deadline->End(); };
-    const CallerWaitScope wait(this->waits, CallerWait::kResponse);
+    const CallerWaitScope wait(this->host, CallerWait::kResponse);
     this->write_deadline->Begin(kernel::Clock::now());
     write_steps(failure);
   }
--- a/src/http/internal/http_exchange.h
+++ b/src/http/internal/http_exchange.h
@@ -6,7 +6,7 @@
 
 #include "http/i_http_handler.h"
 #include "http/internal/asio_http.h"
-#include "http/internal/i_caller_waits.h"
+#include "http/internal/i_exchange_host.h"
 #include "http/internal/write_deadline.h"
 
 namespace banyanlane::http {
@@ -49,11 +49,11 @@
 class HttpExchange : public IHttpExchange {
  public:
   /// @param buffer received data that does not belong to this exchange.
-  /// @param waits records when a write waits for the caller.
+  /// @param host the connection.
   HttpExchange(StrandStream& stream, beast::flat_buffer& buffer,
                const Strand& strand, asio::yield_context yield,
                HttpRequest request, const ServerLimits& limits, bool keep_alive,
-               ICallerWaits& waits);
+               IExchangeHost& host);
   ~HttpExchange() override;
 
   const HttpRequest& request() const override { return this->received; }
@@ -88,7 +88,7 @@
   StrandStream& stream;
   beast::flat_buffer& buffer;
   asio::yield_context yield;
-  ICallerWaits& waits;
+  IExchangeHost& host;
   HttpRequest received;
   bool is_head;  ///< Responses to the request have no body.
   std::shared_ptr<WriteDeadline> write_deadline;
--- a/src/http/internal/http_runtime.cc
+++ b/src/http/internal/http_runtime.cc
@@ -6,10 +6,10 @@
 #include <vector>
 
 #include "http/i_http_runtime.h"
-#include "http/internal/body_budget.h"
 #include "http/internal/connection_tracker.h"
 #include "http/internal/http_call.h"
 #include "http/internal/http_server.h"
+#include "http/internal/memory_budget.h"
 
 namespace banyanlane::http {
 namespace {
@@ -47,7 +47,8 @@
   explicit HttpRuntime(const ServerCapacity& capacity)
       : resources{std::make_shared<ConnectionTracker>(capacity.connections,
                                                       capacity.patience),
-                  std::make_shared<BodyBudget>(capacity.body_bytes),
+                  std::make_shared<MemoryBudget>(capacity.body_bytes),
+                  std::make_shared<MemoryBudget>(capacity.head_bytes),
                   capacity.chunk_overhead} {}
   ~HttpRuntime() override { this->Stop(); }
 
@@ -106,10 +107,12 @@
   }
 
   void Start(int threads) override {
-    this->Every(kIdleCheckPeriod,
-                [tracker = this->resources.tracker](kernel::TimePoint now) {
-                  tracker->CloseExpired(now);
-                });
+    this->Every(
+        kIdleCheckPeriod, [resources = this->resources](kernel::TimePoint now) {
+          resources.tracker->CloseExpired(now);
+          resources.tracker->ReleaseMemory(
+              CallerWait::kRequest, resources.bodies->QueuedBytes(), now);
+        });
     for (int i = 0; i < threads; ++i) {
       this->pool.emplace_back([this] { this->io.run(); });
     }
--- a/src/http/internal/http_server.h
+++ b/src/http/internal/http_server.h
@@ -6,8 +6,8 @@
 
 #include "http/i_http_runtime.h"
 #include "http/internal/asio_http.h"
-#include "http/internal/body_budget.h"
 #include "http/internal/connection_tracker.h"
+#include "http/internal/memory_budget.h"
 
 namespace banyanlane::http {
 
@@ -17,7 +17,8 @@
 /// Resources shared by all servers of a runtime.
 struct SharedResources {
   std::shared_ptr<ConnectionTracker> tracker;
-  std::shared_ptr<BodyBudget> bodies;
+  std::shared_ptr<MemoryBudget> bodies;
+  std::shared_ptr<MemoryBudget> heads;
   /// See ServerCapacity.
   std::uint32_t chunk_overhead = 0;
 };
@@ -43,7 +44,8 @@
   ServerLimits CurrentLimits() const;
   bool IsAccepting() const { return this->accepting; }
   ConnectionTracker& tracker() { return *this->resources.tracker; }
-  BodyBudget& bodies() { return *this->resources.bodies; }
+  MemoryBudget& bodies() { return *this->resources.bodies; }
+  MemoryBudget& heads() { return *this->resources.heads; }
   /// Returns the largest number of bytes that may frame one byte of a chunked
   /// body.
   std::uint32_t chunk_overhead() const {
