Count the memory of the parts of prompts that a request names

Callers saw: a gateway of 90 MB, and its end on a smaller machine, when 130 requests with 8,000 parts of a prompt each waited for a silent server. Cause: a gateway keeps a key for each part until the request has ended, and kept the list that it had read from the head as well. Change: the keys are counted as memory of the request's head before they are made; where there is no room the request is refused with 503. The list is freed when the keys are made. Why it works: the keys are the only thing of variable size that a gateway derives from a head and keeps.

--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -28,6 +28,9 @@
 /// Maximum number of gateways given to callers.
 constexpr std::size_t kMaxAddresses = 64;
 
+/// Begins the key of a part of a prompt.
+constexpr std::string_view kPartPrefix = "part:";
+
 /// Returns the key of requests that repeat this one.
 std::string RequestKey(const http::HttpRequest& request,
                        const std::string& host,
@@ -42,6 +45,14 @@
   return "request:" + digest.Finish();
 }
 
+/// Returns the memory of the keys of a request's work.
+std::uint64_t WorkKeyMemory(const CallerRequestHead& head) {
+  std::uint64_t bytes = 0;
+  for (const std::string& part : head.shared_prompt_parts)
+    bytes += sizeof(std::string) + kPartPrefix.size() + part.size();
+  return bytes;
+}
+
 /// Before any outage of a service was observed, one is expected to last as
 /// long as endpoints wait for a lost endpoint.
 PoolLimits PoolLimitsOf(const GatewaySettings& settings) {
@@ -166,7 +177,7 @@
   }
   direct_request.service = this->PickService(*direct_request.profile);
   for (const std::string& part : head.shared_prompt_parts)
-    direct_request.work_keys.push_back("part:" + part);
+    direct_request.work_keys.push_back(std::string(kPartPrefix) + part);
   direct_request.work_keys.push_back(
       RequestKey(request, host, direct_request.organisation));
   direct_request.deadline_ms = head.deadline_ms;
@@ -183,11 +194,17 @@
 
 void DirectService::Handle(http::IHttpExchange& exchange) {
   http::HttpRequest request = exchange.TakeRequest();
-  const CallerRequestHead head = this->protocol->ReadRequest(request);
   if (this->stop.HasBegun()) exchange.CloseAfterResponse();
-  auto accepted = this->Accept(request, head, kernel::BootNow());
+  std::string request_id;
+  auto accepted = [&]() -> std::variant<DirectRequest, Rejection> {
+    const CallerRequestHead head = this->protocol->ReadRequest(request);
+    request_id = head.request_id;
+    if (!exchange.HoldMemory(WorkKeyMemory(head)))
+      return Rejection{kUnavailable, "request_memory", kOverloadRetryMillis};
+    return this->Accept(request, head, kernel::BootNow());
+  }();
   if (const auto* rejection = std::get_if<Rejection>(&accepted)) {
-    this->Reject(exchange, *rejection, head.request_id);
+    this->Reject(exchange, *rejection, request_id);
     return;
   }
   const absl::Cleanup on_ended = [this] { this->stop.OnEnded(); };
--- a/src/entry/tests/entry_service_test.cc
+++ b/src/entry/tests/entry_service_test.cc
@@ -47,6 +47,7 @@
   http::WakeReason Wait(kernel::TimePoint /*until*/) override {
     return http::WakeReason::kTimeout;
   }
+  bool HoldMemory(std::uint64_t /*bytes*/) override { return true; }
   void CloseAfterResponse() override {}
   void Reply(const http::HttpResponse& response) override {
     this->status = response.status;
--- a/src/http/i_http_handler.h
+++ b/src/http/i_http_handler.h
@@ -37,6 +37,11 @@
   /// caller disconnects.
   virtual WakeReason Wait(kernel::TimePoint until) = 0;
 
+  /// Reserves memory for what the handler derives from the request and keeps
+  /// until its end.
+  /// @return false if it is not available. The request must then be refused.
+  virtual bool HoldMemory(std::uint64_t bytes) = 0;
+
   /// Closes the connection after this response, or, if further requests have
   /// been received before it begins, after the responses to those. Must be
   /// called before the response begins, and again for the further requests.
@@ -73,7 +78,8 @@
   /// Returns the response to a request that the server has no capacity for.
   /// Handle is not called for this request. Its body is discarded, and the
   /// connection is closed after the response.
-  /// @param reason the exhausted resource: "connections" or "body_memory".
+  /// @param reason the exhausted resource: "connections", "request_memory" or
+  /// "body_memory".
   virtual HttpResponse RefuseOverload(const HttpRequest& request,
                                       const std::string& reason);
 };
--- a/src/http/internal/http_exchange.h
+++ b/src/http/internal/http_exchange.h
@@ -60,6 +60,9 @@
   HttpRequest TakeRequest() override { return std::move(this->received); }
   std::shared_ptr<INotifier> notifier() override { return this->signal; }
   WakeReason Wait(kernel::TimePoint until) override;
+  bool HoldMemory(std::uint64_t bytes) override {
+    return this->host.HoldRequestMemory(bytes);
+  }
   void CloseAfterResponse() override { this->closes_when_idle = true; }
   void Reply(const HttpResponse& response) override;
   bool BeginStream(int status, const Headers& headers) override;
