Count the responses that callers have not taken

Callers saw: a gateway of 304 MB, and its end on a smaller machine, when 60 clients asked for a response of 4 MB and read nothing; 218 MB when 40 clients sent 40 such requests each ahead. Cause: a gateway collects a response of up to 4 MB before it sends it, and holds it for up to 15 s while its caller takes nothing. Each response had a limit, and their sum had none. Change: responses above 8 KB share a quarter of [http] memory_mb; a body is counted from the head that states its size on. Where there is no room, callers that have taken nothing for [http] patience_ms give way, the oldest first, and the response that needs the room is given up: 502, since it has run, or a cut of a stream that has begun. It is not tried elsewhere. Memory for a body of known size is taken once, not in steps. Why it works: all that a flow holds of a response is counted after each step of the flow, and pages of other handlers when they are sent. A giving up frees the place at the server at once, so that others are served.

--- a/src/direct/i_caller_protocol.h
+++ b/src/direct/i_caller_protocol.h
@@ -57,6 +57,8 @@
   /// Time for which the endpoint, which has turned the request away, wants no
   /// requests from this gateway, if it has named one.
   std::optional<kernel::Millis> rest;
+  /// Size of the body in bytes, if the head states it.
+  std::optional<std::uint64_t> body_bytes;
   /// Id of the request that this response belongs to, or "".
   std::string request_id;
   /// Media type of the body in lower case and without parameters, or "".
--- a/src/direct/internal/direct_flow.cc
+++ b/src/direct/internal/direct_flow.cc
@@ -115,7 +115,8 @@
   this->attempt_resumes = this->head_sent;
   this->is_held_back = false;
   this->head = ResponseHead{};
-  this->body.clear();
+  this->body = std::string();
+  this->expected_bytes = 0;
   this->splitter = EventSplitter{};
   const auto time_left = this->TimeLeft(now);
   const bool can_retry = this->request.IsRepeatable() &&
@@ -290,6 +291,20 @@
   return this->TakeActions();
 }
 
+DirectActions DirectFlow::OnNoMemory(kernel::TimePoint /*now*/) {
+  if (this->state == State::kDone || !this->endpoint) return {};
+  this->may_have_run = true;
+  this->CancelAttempt(AttemptResult::kCancelled);
+  this->FailRequest("response_memory", this->context.limits.retry_after);
+  this->body = std::string();
+  return this->TakeActions();
+}
+
+std::size_t DirectFlow::ResponseBytes() const {
+  return std::max(this->body.size(), this->expected_bytes) +
+         this->splitter.PartialEventBytes() + this->undelivered_bytes;
+}
+
 void DirectFlow::CancelAttempt(AttemptResult result) {
   if (!this->endpoint) return;
   this->actions.push_back(CancelCall{this->attempt});
--- a/src/direct/internal/direct_flow.h
+++ b/src/direct/internal/direct_flow.h
@@ -106,9 +106,14 @@
   /// Records that the caller has taken `bytes` of the events.
   DirectActions OnDelivered(std::size_t bytes, kernel::TimePoint now);
   DirectActions OnCallerDisconnected(kernel::TimePoint now);
+  /// Gives the response up, since there is no memory for it.
+  DirectActions OnNoMemory(kernel::TimePoint now);
   /// Answers the request at once, since the process ends.
   DirectActions OnStopEnd(kernel::TimePoint now);
 
+  /// Returns the memory that is needed for the parts of the response that the
+  /// caller has not taken.
+  std::size_t ResponseBytes() const;
   /// Returns when OnTimer is due.
   kernel::TimePoint NextTimer() const;
   bool IsDone() const { return this->state == State::kDone; }
@@ -159,6 +164,8 @@
   /// Records that complete events have arrived. Parts of events do not count,
   /// since an endpoint in trouble may send bytes that never complete one.
   void OnProgress(kernel::TimePoint now);
+  /// Records the size of the body that is buffered, if the head states it.
+  void ExpectBody();
   /// Returns whether the response head is one that can go on with the stream of
   /// which the caller has received a part.
   bool CanContinueStream() const;
@@ -252,6 +259,8 @@
 
   ResponseHead head;  ///< Response head of the current attempt.
   std::string body;   ///< Body received in the current attempt.
+  /// Size of the body that is buffered in the current attempt, if it is known.
+  std::size_t expected_bytes = 0;
   EventSplitter splitter;
   /// Id of the last event that the caller has received.
   std::optional<std::uint64_t> last_delivered_id;
@@ -264,7 +273,8 @@
   /// The last event that the caller has received names its place in the stream,
   /// so that another endpoint can go on after it.
   bool last_delivered_has_id = false;
-  std::size_t undelivered_bytes = 0;  ///< Events that the caller has not taken.
+  /// Events, or bytes of a complete response, that the caller has not taken.
+  std::size_t undelivered_bytes = 0;
   /// Nothing is read from the endpoint until the caller has taken more.
   bool is_held_back = false;
   StreamProgress progress;
--- a/src/direct/internal/direct_flow_response.cc
+++ b/src/direct/internal/direct_flow_response.cc
@@ -51,6 +51,7 @@
     this->OnRefused(now);
     return this->TakeActions();
   }
+  this->ExpectBody();
   const bool is_unusable = IsSuccess(this->head.status) &&
                            (!this->head.is_signed || this->head.is_encoded ||
                             !this->CanContinueStream());
@@ -61,6 +62,17 @@
   return this->TakeActions();
 }
 
+void DirectFlow::ExpectBody() {
+  const bool is_stream =
+      this->request.ExpectsEvents() && IsSuccess(this->head.status);
+  const bool has_body = this->request.message.method != http::kHeadMethod;
+  if (is_stream || !has_body || !this->head.body_bytes) return;
+  this->expected_bytes = static_cast<std::size_t>(std::min<std::uint64_t>(
+      *this->head.body_bytes, this->context.limits.max_response_bytes));
+  // Growth in steps would need up to three times the memory.
+  this->body.reserve(this->expected_bytes);
+}
+
 bool DirectFlow::CanContinueStream() const {
   if (!this->attempt_resumes) return true;
   return this->head.status == this->stream_status &&
@@ -233,6 +245,8 @@
   response.status = status;
   response.headers = this->head.headers;
   response.body = std::move(this->body);
+  this->expected_bytes = 0;
+  this->undelivered_bytes = response.body.size();
   this->actions.push_back(SendResponse{std::move(response)});
   this->Finish("completed");
 }
--- a/src/direct/internal/direct_runner.cc
+++ b/src/direct/internal/direct_runner.cc
@@ -57,10 +57,17 @@
 
 DirectRunner::DirectRunner(Environment environment,
                            std::unique_ptr<DirectFlow> flow,
-                           std::shared_ptr<http::INotifier> notifier)
+                           std::shared_ptr<http::INotifier> notifier,
+                           std::shared_ptr<http::IResponseMemory> memory)
     : environment(std::move(environment)),
       flow(std::move(flow)),
-      notifier(std::move(notifier)) {}
+      notifier(std::move(notifier)),
+      memory(std::move(memory)) {}
+
+void DirectRunner::HoldResponse() {
+  if (this->memory->Resize(this->flow->ResponseBytes())) return;
+  this->QueueActions(this->flow->OnNoMemory(kernel::Clock::now()));
+}
 
 void DirectRunner::QueueActions(DirectActions new_actions) {
   bool must_notify = false;
--- a/src/direct/internal/direct_runner.h
+++ b/src/direct/internal/direct_runner.h
@@ -30,7 +30,8 @@
   };
 
   DirectRunner(Environment environment, std::unique_ptr<DirectFlow> flow,
-               std::shared_ptr<http::INotifier> notifier);
+               std::shared_ptr<http::INotifier> notifier,
+               std::shared_ptr<http::IResponseMemory> memory);
 
   /// Returns when the runner was created, on the arrival of the request.
   kernel::TimePoint started() const { return this->started_at; }
@@ -43,6 +44,7 @@
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
       this->QueueActions(update(*this->flow));
+      this->HoldResponse();
       if (this->is_running) return;
       this->is_running = true;
     }
@@ -63,6 +65,9 @@
   class Observer;
 
   void Count(const WriteLogEvent& log_event);
+  /// Reserves memory for what the flow holds of the response. Gives the
+  /// response up if there is none. Requires the mutex.
+  void HoldResponse();
   void QueueActions(DirectActions new_actions);
   void RunActions();
   void RunAction(const CallEndpoint& action);
@@ -82,6 +87,7 @@
   std::mutex mutex;
   std::unique_ptr<DirectFlow> flow;
   std::shared_ptr<http::INotifier> notifier;
+  std::shared_ptr<http::IResponseMemory> memory;
   DirectActions endpoint_actions;
   bool is_running = false;  ///< A call of UpdateFlow is running actions.
   DirectActions caller_actions;
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -259,7 +259,7 @@
   const auto runner = std::make_shared<DirectRunner>(
       std::move(environment),
       std::make_unique<DirectFlow>(context, std::move(direct_request), number),
-      exchange.notifier());
+      exchange.notifier(), exchange.response_memory());
   this->runners.Set(number, runner);
   runner->UpdateFlow(
       [started](DirectFlow& flow) { return flow.Start(started); });
--- a/src/entry/tests/entry_service_test.cc
+++ b/src/entry/tests/entry_service_test.cc
@@ -47,6 +47,9 @@
   http::WakeReason Wait(kernel::TimePoint /*until*/) override {
     return http::WakeReason::kTimeout;
   }
+  std::shared_ptr<http::IResponseMemory> response_memory() override {
+    return nullptr;
+  }
   bool HoldMemory(std::uint64_t /*bytes*/) override { return true; }
   void CloseAfterResponse() override {}
   void Reply(const http::HttpResponse& response) override {
--- a/src/entry/tests/stopping_entry_test.cc
+++ b/src/entry/tests/stopping_entry_test.cc
@@ -72,6 +72,9 @@
     if (this->on_wait) this->on_wait();
     return http::WakeReason::kCallerDisconnected;
   }
+  std::shared_ptr<http::IResponseMemory> response_memory() override {
+    return nullptr;
+  }
   bool HoldMemory(std::uint64_t /*bytes*/) override { return true; }
   void CloseAfterResponse() override { this->closes = true; }
   void Reply(const http::HttpResponse& response) override {
--- a/src/http/http_module.cc
+++ b/src/http/http_module.cc
@@ -18,6 +18,7 @@
 // A body is stored twice while it is forwarded.
 constexpr std::uint64_t kBodyMemoryDivisor = 8;
 constexpr std::uint64_t kHeadMemoryDivisor = 16;
+constexpr std::uint64_t kResponseMemoryDivisor = 4;
 constexpr std::uint64_t kConnectionMemoryDivisor = 4;
 /// Memory of a connection that receives a request: the read buffer, and the
 /// stack of its coroutine.
@@ -35,6 +36,7 @@
                    kCallerSocketFraction),
                memory / kConnectionMemoryDivisor / kConnectionBytes);
   capacity.body_bytes = memory / kBodyMemoryDivisor;
+  capacity.response_bytes = memory / kResponseMemoryDivisor;
   capacity.head_bytes = memory / kHeadMemoryDivisor;
   capacity.chunk_overhead =
       static_cast<std::uint32_t>(settings.Integer("http", "chunk_overhead"));
--- a/src/http/i_http_handler.h
+++ b/src/http/i_http_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -17,6 +18,17 @@
   virtual void Notify() = 0;
 };
 
+/// Memory that a response takes until the caller has taken it. May be used from
+/// any thread, even after the exchange has ended.
+class IResponseMemory {
+ public:
+  virtual ~IResponseMemory() = default;
+  /// Sets the number of bytes that the response takes.
+  /// @return false if they are not available. The response must then be given
+  /// up; what it had before stays reserved.
+  virtual bool Resize(std::uint64_t bytes) = 0;
+};
+
 /// Reason why a wait ended.
 enum class WakeReason { kNotified, kTimeout, kCallerDisconnected };
 
@@ -33,6 +45,10 @@
   /// Returns the notifier that ends a Wait.
   virtual std::shared_ptr<INotifier> notifier() = 0;
 
+  /// Returns the memory of the response. Who collects a response in parts
+  /// resizes it with them; Reply does it for a whole one.
+  virtual std::shared_ptr<IResponseMemory> response_memory() = 0;
+
   /// Suspends the coroutine until it is notified, until `until` or until the
   /// caller disconnects.
   virtual WakeReason Wait(kernel::TimePoint until) = 0;
@@ -47,7 +63,7 @@
   /// called before the response begins, and again for the further requests.
   virtual void CloseAfterResponse() = 0;
 
-  /// Sends a complete response.
+  /// Sends a complete response. Aborts it if there is no memory for it.
   virtual void Reply(const HttpResponse& response) = 0;
 
   /// Sends the head of a chunked response.
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -102,6 +102,8 @@
   std::uint32_t chunk_overhead = 16;
   /// Maximum memory for the heads of all requests in progress, in bytes.
   std::uint64_t head_bytes = std::uint64_t{16} * 1024 * 1024;
+  /// Maximum memory for the responses that wait for their callers, in bytes.
+  std::uint64_t response_bytes = std::uint64_t{256} * 1024 * 1024;
   /// Time for which a caller may take nothing of a response before its
   /// connection gives way to others.
   kernel::Millis patience{2'000};
--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -178,8 +178,13 @@
   });
 }
 
-std::uint64_t CallerConnection::HeldBytes(CallerWait /*wait*/) const {
-  return this->request_bytes;
+std::uint64_t CallerConnection::HeldBytes(CallerWait wait) const {
+  return wait == CallerWait::kRequest ? this->request_bytes.load()
+                                      : this->response_bytes->load();
+}
+
+std::shared_ptr<IResponseMemory> CallerConnection::MakeResponseMemory() {
+  return this->server->MakeResponseMemory(this->response_bytes);
 }
 
 bool CallerConnection::CheckHeld(bool is_held, std::uint64_t bytes) {
--- a/src/http/internal/caller_connection.h
+++ b/src/http/internal/caller_connection.h
@@ -36,6 +36,7 @@
   void BeginWait(CallerWait wait) override;
   void EndWait() override;
   bool HoldRequestMemory(std::uint64_t bytes) override;
+  std::shared_ptr<IResponseMemory> MakeResponseMemory() override;
 
  private:
   using RequestParser = beast::http::request_parser<beast::http::string_body>;
@@ -119,6 +120,9 @@
   MemoryBudget::Allocation head_memory;  ///< Of the current request.
   /// Size of both, for other threads.
   std::atomic<std::uint64_t> request_bytes{0};
+  /// Memory of the responses on this connection.
+  std::shared_ptr<std::atomic<std::uint64_t>> response_bytes =
+      std::make_shared<std::atomic<std::uint64_t>>(0);
   bool is_counted = false;  ///< Whether the tracker counts this connection.
   Admission admission = Admission::kServe;  ///< Set by Start.
 };
--- a/src/http/internal/http_exchange.cc
+++ b/src/http/internal/http_exchange.cc
@@ -5,6 +5,8 @@
 
 #include <cerrno>
 
+#include "http/internal/response_memory.h"
+
 namespace banyanlane::http {
 namespace {
 
@@ -87,6 +89,11 @@
   if (this->watching) this->stream.socket().cancel(ignored);
 }
 
+std::shared_ptr<IResponseMemory> HttpExchange::response_memory() {
+  if (!this->memory) this->memory = this->host.MakeResponseMemory();
+  return this->memory;
+}
+
 WakeReason HttpExchange::Wait(kernel::TimePoint until) {
   if (!this->watching)
     this->signal->WatchForDisconnect(this->stream.socket(), this->buffer);
@@ -137,6 +144,9 @@
 }
 
 void HttpExchange::Reply(const HttpResponse& response) {
+  if (response.body.size() > kUncountedResponseBytes &&
+      !this->response_memory()->Resize(response.body.size()))
+    return this->Abort();
   this->DecideClose();
   beast::http::response<beast::http::span_body<const char>> message;
   message.version(kHttpVersion);
--- a/src/http/internal/http_exchange.h
+++ b/src/http/internal/http_exchange.h
@@ -59,6 +59,7 @@
   const HttpRequest& request() const override { return this->received; }
   HttpRequest TakeRequest() override { return std::move(this->received); }
   std::shared_ptr<INotifier> notifier() override { return this->signal; }
+  std::shared_ptr<IResponseMemory> response_memory() override;
   WakeReason Wait(kernel::TimePoint until) override;
   bool HoldMemory(std::uint64_t bytes) override {
     return this->host.HoldRequestMemory(bytes);
@@ -96,6 +97,7 @@
   bool is_head;  ///< Responses to the request have no body.
   std::shared_ptr<WriteDeadline> write_deadline;
   std::shared_ptr<ExchangeSignal> signal;
+  std::shared_ptr<IResponseMemory> memory;  ///< Null until it is used.
   bool keep_alive;
   bool closes_when_idle = false;  ///< Whether CloseAfterResponse was called.
   bool watching = false;
--- a/src/http/internal/http_runtime.cc
+++ b/src/http/internal/http_runtime.cc
@@ -49,6 +49,7 @@
                                                       capacity.patience),
                   std::make_shared<MemoryBudget>(capacity.body_bytes),
                   std::make_shared<MemoryBudget>(capacity.head_bytes),
+                  std::make_shared<MemoryBudget>(capacity.response_bytes),
                   capacity.chunk_overhead} {}
   ~HttpRuntime() override { this->Stop(); }
 
--- a/src/http/internal/http_server.cc
+++ b/src/http/internal/http_server.cc
@@ -1,9 +1,11 @@
 #include "http/internal/http_server.h"
 
 #include <exception>
+#include <utility>
 
 #include "http/internal/caller_connection.h"
 #include "http/internal/http_exchange.h"
+#include "http/internal/response_memory.h"
 #include "kernel/event_log.h"
 
 namespace banyanlane::http {
@@ -71,6 +73,13 @@
   return this->limits;
 }
 
+std::shared_ptr<IResponseMemory> HttpServer::MakeResponseMemory(
+    std::shared_ptr<std::atomic<std::uint64_t>> held_bytes) const {
+  return std::make_shared<ResponseMemory>(this->resources.responses,
+                                          this->resources.tracker,
+                                          std::move(held_bytes));
+}
+
 void HttpServer::Accept() {
   if (this->resources.tracker->IsFull(kernel::Clock::now()))
     return this->AcceptAfterPause();
--- a/src/http/internal/http_server.h
+++ b/src/http/internal/http_server.h
@@ -19,6 +19,7 @@
   std::shared_ptr<ConnectionTracker> tracker;
   std::shared_ptr<MemoryBudget> bodies;
   std::shared_ptr<MemoryBudget> heads;
+  std::shared_ptr<MemoryBudget> responses;
   /// See ServerCapacity.
   std::uint32_t chunk_overhead = 0;
 };
@@ -53,6 +54,11 @@
   }
   IHttpHandler& handler() { return *this->request_handler; }
 
+  /// Returns memory for one response.
+  /// @param held_bytes counts what responses hold.
+  std::shared_ptr<IResponseMemory> MakeResponseMemory(
+      std::shared_ptr<std::atomic<std::uint64_t>> held_bytes) const;
+
   /// Counts a connection that begins, or has ceased, to serve requests.
   void OnConnectionBusy() { ++this->busy; }
   void OnConnectionIdle() { --this->busy; }
--- a/src/http/internal/i_exchange_host.h
+++ b/src/http/internal/i_exchange_host.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/i_http_handler.h"
 #include "http/internal/connection_tracker.h"
 
 namespace banyanlane::http {
@@ -14,6 +15,8 @@
   /// Reserves more memory for the request.
   /// @return false if it is not available.
   virtual bool HoldRequestMemory(std::uint64_t bytes) = 0;
+  /// Returns new memory for one response.
+  virtual std::shared_ptr<IResponseMemory> MakeResponseMemory() = 0;
 };
 
 /// Wait for the caller that ends with the scope.
