Keep evidence about long parts of prompts under a digest

Callers saw: a gateway of 95 MB, and its end on a smaller machine, after 9,000 requests that each named a new part of a prompt with an id of 15 KB. Cause: a gateway counts the parts of requests that servers have begun, so that it can tell which work crashes servers: 4,096 keys in each of two windows, as long as callers like, also when the requests have long ended. Change: an id of more than 64 bytes is replaced by its digest in the key. Evidence: misbehaving_clients::parts_of_prompts_with_long_ids failed before, and passes now. Why it works: the number of keys was limited before; their length is now.

--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -30,6 +30,8 @@
 
 /// Begins the key of a part of a prompt.
 constexpr std::string_view kPartPrefix = "part:";
+/// Maximum length of an id that is a part of its key.
+constexpr std::size_t kMaxPartIdBytes = 64;
 
 /// Returns the key of requests that repeat this one.
 std::string RequestKey(const http::HttpRequest& request,
@@ -45,6 +47,13 @@
   return "request:" + digest.Finish();
 }
 
+/// Returns the key of a part of a prompt. Evidence about keys is kept for a
+/// long time, so that the digest stands for a long id.
+std::string PartKey(const std::string& part) {
+  const bool is_long = part.size() > kMaxPartIdBytes;
+  return std::string(kPartPrefix) + (is_long ? kernel::Digest(part) : part);
+}
+
 /// Returns the memory of the keys of a request's work.
 std::uint64_t WorkKeyMemory(const CallerRequestHead& head) {
   std::uint64_t bytes = 0;
@@ -177,7 +186,7 @@
   }
   direct_request.service = this->PickService(*direct_request.profile);
   for (const std::string& part : head.shared_prompt_parts)
-    direct_request.work_keys.push_back(std::string(kPartPrefix) + part);
+    direct_request.work_keys.push_back(PartKey(part));
   direct_request.work_keys.push_back(
       RequestKey(request, host, direct_request.organisation));
   direct_request.deadline_ms = head.deadline_ms;
--- a/tests/processes/misbehaving_client_test.cc
+++ b/tests/processes/misbehaving_client_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <memory>
 
+#include "http/tests/raw_caller.h"
 #include "processes/client_crowd.h"
 #include "processes/gateway_fleet.h"
 #include "processes/process_helpers.h"
@@ -33,6 +34,9 @@
 constexpr std::size_t kLargestBody = 4 * kMegabyte;
 constexpr std::size_t kEventBytes = std::size_t{16} * 1024;
 constexpr int kEvents = 512;
+/// More requests than a gateway keeps evidence for.
+constexpr int kLongIds = 9'000;
+constexpr std::size_t kLongIdBytes = 15'000;
 /// The crowd stands for this many turns, with a pause after each.
 constexpr int kTurns = 200;
 constexpr int kTurnPauseMillis = 10;
@@ -106,6 +110,13 @@
     }
     return;
   }
+  if (is_for("/stream/small")) {
+    const std::string event = "id: 1\ndata: x\n\n";
+    connection.Send("HTTP/1.1 200 OK\r\n" + fields +
+                    "content-type: text/event-stream\r\ncontent-length: " +
+                    std::to_string(event.size()) + "\r\n\r\n" + event);
+    return;
+  }
   const std::size_t length = is_for("/plain/large") ? kLargestBody : 2;
   connection.Send("HTTP/1.1 200 OK\r\n" + fields +
                   "content-length: " + std::to_string(length) + "\r\n\r\n" +
@@ -114,8 +125,10 @@
 
 /// Gateway g1 with lowered limits before the server s1.
 struct SmallFleet : GatewayFleet {
-  SmallFleet() {
+  /// @param blocks_output whether nobody reads the gateway's log.
+  explicit SmallFleet(bool blocks_output = false) {
     this->StartStore();
+    if (blocks_output) this->BlockOutput();
     this->Write("op/config", kGatewayConfig);
     this->gateway_settings = kSettings;
     this->AddGateway("g1");
@@ -299,6 +312,36 @@
   cr_expect(fleet.Serves(std::string(2'048, 'b')), "beside the crowd");
 }
 
+// Guards against state that is kept for long values that a caller chooses.
+Test(misbehaving_clients, parts_of_prompts_with_long_ids) {
+  SmallFleet fleet;
+  const http::RawCaller caller(fleet.Address("g1"), 0);
+  for (int i = 0; i < kLongIds; ++i) {
+    const std::string id = std::to_string(i) + std::string(kLongIdBytes, 'i');
+    caller.Write(Head("/stream/small", "x-prefix-hash: " + id + ":1,a:1\r\n"));
+    cr_assert_neq(caller.ReadUntil("0\r\n\r\n").find(" 200 "),
+                  std::string::npos);
+  }
+  const std::uint64_t peak = PeakResidentBytes(fleet.Pid("g1"));
+  cr_expect_lt(peak, kMemory, "peak of %lu MB", peak / kMegabyte);
+  cr_expect(fleet.Serves());
+}
+
+// Guards against log lines that wait for their reader and are as long as a
+// caller likes.
+Test(misbehaving_clients, long_request_ids_in_a_log_that_is_not_read) {
+  SmallFleet fleet(true);
+  {
+    const std::string request =
+        "POST /none HTTP/1.1\r\nhost: h.example\r\ncontent-length: 0\r\n"
+        "x-request-id: " +
+        std::string(kLongIdBytes, 'i') + "\r\n\r\n";
+    ClientCrowd crowd(fleet.Address("g1"), 40, {"", request, 16 * kMegabyte});
+    Stand(fleet, "g1", crowd);
+  }
+  cr_expect(fleet.Serves());
+}
+
 Test(misbehaving_clients, bodies_to_the_port_for_links) {
   StandAtGateway("-link", 20, {kBodyForLinks, EndlessLine(), 16 * kMegabyte});
 }
