Shorten the values of log fields

Callers saw: nothing yet; 2,048 lines with ids of 15 KB each, which a caller can cause, wait for a log that nobody reads. Cause: the queue of the log limits the number of lines, and not their length. Change: a value has at most 512 bytes in the log. Evidence: misbehaving_clients::long_request_ids_in_a_log_that_is_not_read had a peak of 49 MB before, which its bound allows, and has 16 MB now. Why it works: all fields pass through one function.

--- a/src/kernel/event_log.cc
+++ b/src/kernel/event_log.cc
@@ -13,6 +13,8 @@
 
 /// Maximum number of log lines that wait to be written.
 constexpr std::size_t kMaxQueuedLines = 2'048;
+/// Maximum length of the value of a field, some of which callers choose.
+constexpr std::size_t kMaxValueBytes = 512;
 
 spdlog::level::level_enum SpdlogLevel(Level level) {
   switch (level) {
@@ -36,11 +38,12 @@
 }
 
 /// Replaces control characters and quotes with '?', so that a field value from
-/// another process can't end the line or the value. Where `char` is signed,
-/// this includes all non-ASCII bytes.
+/// another process can't end the line or the value, and shortens a long one.
+/// Where `char` is signed, all non-ASCII bytes are replaced.
 std::string SanitizeFieldValue(std::string_view text) {
   std::string line;
-  for (const char c : text) line += (c >= ' ' && c != '"') ? c : '?';
+  for (const char c : text.substr(0, kMaxValueBytes))
+    line += (c >= ' ' && c != '"') ? c : '?';
   return line;
 }
 
