Treat a response whose status is none as a lost response

Callers saw: 504 at the end of their time after a server had answered with status 000, 001, 099 or 199; a 200 that followed such a response on its connection as the response; and 600 or 999 as it stood. Cause: each status below 200 counted as that of an interim response, so that the call waited for a final one, and each above as final. No number was none. Change: 200 to 599 are final, 100 to 199 interim unless it is 101 or the response states a content, which an interim one has none of (RFC 9110, sections 15 and 15.2). Any other ends the call at once as a broken response: 502, or another attempt where the request may be repeated. A bare 199 is an unknown interim response, which is to be skipped; its request waits for the final one. Why it works: all paths that read responses, of gateways, agents, resumed streams, the store and orders of ranks, read their heads in this one function. Links accept 101 only, in the library of websockets.

--- a/src/http/internal/http_call.cc
+++ b/src/http/internal/http_call.cc
@@ -12,7 +12,10 @@
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 /// HTTP/1.1 in the notation of Beast.
 constexpr unsigned kHttpVersion = 11;
+// RFC 9110, section 15: other numbers are no statuses.
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 constexpr unsigned kSwitchingProtocols = 101;
 /// Number of interim responses to one request that are skipped.
 constexpr int kMaxInterimResponses = 8;
@@ -33,6 +36,22 @@
   return coding == head.end() || beast::iequals(coding->value(), "chunked");
 }
 
+/// Returns whether a response is one that precedes the final response. It has
+/// no content. The request asks for no other protocol, so that nothing may
+/// follow in one.
+bool IsInterim(const beast::http::response_header<>& head) {
+  const unsigned status = head.result_int();
+  return status >= kFirstStatus && status < kFirstFinalStatus &&
+         status != kSwitchingProtocols &&
+         head.count(beast::http::field::content_length) == 0 &&
+         head.count(beast::http::field::transfer_encoding) == 0;
+}
+
+bool IsFinal(const beast::http::response_header<>& head) {
+  const unsigned status = head.result_int();
+  return status >= kFirstFinalStatus && status <= kLastStatus;
+}
+
 }  // namespace
 
 HttpCall::HttpCall(asio::io_context& io, std::shared_ptr<ConnectionCache> cache,
@@ -192,14 +211,12 @@
                                    this->connection->buffer, *parser,
                                    yield[failure]);
     this->response_begun = this->response_begun || parser->got_some();
-    const unsigned status = parser->get().result_int();
     if (failure) return failure;
-    if (status >= kFirstFinalStatus) {
+    if (IsFinal(parser->get())) {
       const bool is_readable = this->IsHead() || HasKnownCoding(parser->get());
       return is_readable ? failure : beast::http::error::bad_transfer_encoding;
     }
-    // The request asks for no other protocol, so nothing may follow in one.
-    if (status == kSwitchingProtocols) break;
+    if (!IsInterim(parser->get())) break;
   }
   return beast::http::error::bad_status;
 }
--- a/src/http/internal/http_call.h
+++ b/src/http/internal/http_call.h
@@ -48,7 +48,8 @@
   /// Writes the request and frees its body.
   /// @return false if this failed and the failure was reported to the observer.
   bool SendRequest(asio::yield_context yield);
-  /// Reads the head of the final response. Interim ones are skipped.
+  /// Reads the head of the final response. Interim ones are skipped. Fails at a
+  /// response that is neither.
   beast::error_code ReadFinalHead(Parser& parser, asio::yield_context yield);
   /// Passes the response head to the observer and reads the body.
   /// @param failure failure to read the head, with which the call ends.
--- a/src/http/tests/http_call_test.cc
+++ b/src/http/tests/http_call_test.cc
@@ -225,6 +225,14 @@
   const std::pair<std::string, int> cases[] = {
       {early + early + final_response, 201},
       {"HTTP/1.1 100 Continue\r\n\r\n" + final_response, 201},
+      {"HTTP/1.1 199 Unknown\r\n\r\n" + final_response, 201},
+      {"HTTP/1.1 000 None\r\n\r\n" + final_response, 0},
+      {"HTTP/1.1 099 None\r\n\r\n" + final_response, 0},
+      {"HTTP/1.1 600 None\r\ncontent-length: 0\r\n\r\n", 0},
+      {"HTTP/1.1 599 Unknown\r\ncontent-length: 0\r\n\r\n", 599},
+      {"HTTP/1.1 103 Early Hints\r\ncontent-length: 2\r\n\r\nok" +
+           final_response,
+       0},
       {switching + final_response, 0},
       {endless, 0}};
   for (const auto& [text, status] : cases) {
