Queue no further responses to pings for a peer that does not read them

Callers saw: a gateway of 653 MB, and its end on a smaller machine, when 20 connections to its port for links sent pings and read nothing. Cause: the library of websockets responds to each ping at once, into a queue without a limit. Processes of the system send no pings. Change: while more than 16 KB is queued for a peer its pings get no response. Evidence: misbehaving_clients::pings_on_links_whose_responses_are_not_read failed before; its peak is 14 MB now. Why it works: RFC 6455 asks for a response to the latest ping only; messages of links have a limit of their own.

--- a/src/link/internal/ws_hub.cc
+++ b/src/link/internal/ws_hub.cc
@@ -10,6 +10,8 @@
 
 constexpr kernel::Millis kTickPeriod{50};
 constexpr int kListenBacklog = 512;
+/// Pings are not answered while more than this is queued for the peer.
+constexpr std::size_t kMaxQueuedPongBytes = std::size_t{16} * 1024;
 
 /// Transport on a websocketpp connection.
 template <typename Endpoint>
@@ -132,6 +134,13 @@
         if (open)
           open->set_max_message_size(this->shared->limits.max_frame_bytes);
       });
+  // Responses to pings are queued at once. Only the latest ping needs one
+  // (RFC 6455, section 5.5.3).
+  connection->set_ping_handler(
+      [weak = std::weak_ptr(connection)](const Handle&, const std::string&) {
+        const auto open = weak.lock();
+        return open && open->get_buffered_amount() <= kMaxQueuedPongBytes;
+      });
   const auto on_closed = [this, session](const Handle&) {
     session->OnClosed(kernel::Clock::now());
     this->RemoveSession(session);
--- a/tests/processes/misbehaving_client_test.cc
+++ b/tests/processes/misbehaving_client_test.cc
@@ -207,11 +207,24 @@
   }
 };
 
-const std::string& FrameWithoutEnd() {
-  static const std::string frame =
+const std::string& Handshake() {
+  static const std::string request =
       "GET /link HTTP/1.1\r\nhost: a\r\nupgrade: websocket\r\n"
       "connection: upgrade\r\nsec-websocket-version: 13\r\n"
-      "sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n" +
+      "sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+  return request;
+}
+
+/// Largest ping, whose response is as long, with a mask of zeros.
+std::string Ping() {
+  constexpr std::size_t kMaxPingBytes = 125;
+  return std::string("\x89\xfd\x00\x00\x00\x00", 6) +
+         std::string(kMaxPingBytes, 'p');
+}
+
+const std::string& FrameWithoutEnd() {
+  static const std::string frame =
+      Handshake() +
       std::string("\x82\xff\x00\x00\x00\x00\x00\x70\x00\x00\x00\x00\x00\x00",
                   14);
   return frame;
@@ -351,6 +364,13 @@
                  {FrameWithoutEnd(), EndlessLine(), 7 * kMegabyte, true});
 }
 
+// Guards against responses to pings that are queued for a peer that does not
+// read them.
+Test(misbehaving_clients, pings_on_links_whose_responses_are_not_read) {
+  StandAtGateway("-link", 20,
+                 {Handshake(), Repeat(Ping(), 500), 16 * kMegabyte});
+}
+
 Test(misbehaving_clients, connections_to_the_port_for_links) {
   StandAtGateway("-link", 600, {"G", "", 0, true});
 }
