Parse the chunks of a body without a suspension for each

Callers saw: late answers beside clients that send a body in chunks of one byte. Cause: each chunk was parsed by an operation of its own, which suspends the coroutine: 1.6 s of processor time for a million chunks of one byte (6 MB). Change: what is in the read buffer is parsed in one loop. Result: 0.03 s for the same body, measured as a trial; no test, since that would depend on the machine's speed. The tests of the server pass. Why it works: an operation is needed only to read more.

--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -285,6 +285,18 @@
   return this->CheckHeld(allocation.has_value(), bytes);
 }
 
+std::size_t CallerConnection::ParseBuffered(RequestParser& parser,
+                                            beast::error_code& failure) {
+  std::size_t consumed_bytes = 0;
+  while (!failure && !parser.is_done() && this->buffer.size() > 0) {
+    const std::size_t count = parser.put(this->buffer.data(), failure);
+    this->buffer.consume(count);
+    consumed_bytes += count;
+  }
+  if (failure == beast::http::error::need_more) failure = {};
+  return consumed_bytes;
+}
+
 std::optional<CallerConnection::Refusal> CallerConnection::ReadBody(
     RequestParser& parser, const ServerLimits& limits,
     asio::yield_context yield) {
@@ -294,6 +306,7 @@
   while (!parser.is_done()) {
     consumed_bytes += beast::http::async_read_some(this->stream, this->buffer,
                                                    parser, yield[failure]);
+    if (!failure) consumed_bytes += this->ParseBuffered(parser, failure);
     if (failure) return Refusal{StatusForReadError(failure), failure.message()};
     const std::uint64_t received_bytes = parser.get().body().size();
     const std::uint64_t max_framing_bytes =
--- a/src/http/internal/caller_connection.h
+++ b/src/http/internal/caller_connection.h
@@ -76,6 +76,10 @@
   std::optional<Refusal> ReadRequest(ReceivedRequest& received,
                                      const ServerLimits& limits,
                                      asio::yield_context yield);
+  /// Parses what is in the buffer, without a suspension for each chunk.
+  /// @param failure receives the reason if it can't be parsed.
+  /// @return the number of bytes parsed.
+  std::size_t ParseBuffered(RequestParser& parser, beast::error_code& failure);
   /// Reads the body. Reserves more memory if the body exceeds what is reserved,
   /// which only happens with a chunked body. The trailer section of such a body
   /// and what frames its chunks are limited as well.
