Keep evidence about the first 1,024 parts of a prompt

Callers saw: nothing yet. Each part that a request names is looked up several times, under a lock, and a head of 16 KB has room for 8,000 of one letter. Change: parts beyond [gateway] max_prompt_parts (1,024) have no key, so that no evidence about them is kept; the request is served as before. A head of 16 KB has room for about as many parts with ids of eight digits and their sizes.

--- a/src/direct/direct_module.cc
+++ b/src/direct/direct_module.cc
@@ -106,6 +106,8 @@
     gateway_settings.failure_domain = settings.Text("node", "failure_domain");
     gateway_settings.address_ttl = millis("address_keep_ms");
     gateway_settings.grace_period = millis("grace_s", kMillisPerSecond);
+    gateway_settings.max_prompt_parts = static_cast<std::size_t>(
+        settings.Integer("gateway", "max_prompt_parts"));
     gateway_settings.limits.stream_stall_timeout =
         millis("stall_ms") + kStallMargin;
     gateway_settings.retries.ratio = settings.Number("gateway", "retry_ratio");
@@ -173,6 +175,9 @@
        "Longest time of a graceful shutdown."},
       {"gateway", "stall_ms", SettingKind::kNumber, "1500", false, 0, 60'000,
        "How long endpoints wait for a lost endpoint that they depend on."},
+      {"gateway", "max_prompt_parts", SettingKind::kInteger, "1024", false, 1,
+       1'000'000,
+       "Number of parts of a prompt for which evidence about crashes is kept."},
       {"gateway", "retry_ratio", SettingKind::kNumber, "0.2", false, 0, 1,
        "Retries to a service, as a fraction of its requests."},
       {"gateway", "retry_window_s", SettingKind::kNumber, "10", false, 1, 600,
--- a/src/direct/internal/direct_service.cc
+++ b/src/direct/internal/direct_service.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 
+#include "direct/internal/work_keys.h"
 #include "kernel/boot_clock.h"
 #include "kernel/event_log.h"
 #include "kernel/hash.h"
@@ -28,11 +29,6 @@
 /// Maximum number of gateways given to callers.
 constexpr std::size_t kMaxAddresses = 64;
 
-/// Begins the key of a part of a prompt.
-constexpr std::string_view kPartPrefix = "part:";
-/// Maximum length of an id that is a part of its key.
-constexpr std::size_t kMaxPartIdBytes = 64;
-
 /// Returns the key of requests that repeat this one.
 std::string RequestKey(const http::HttpRequest& request,
                        const std::string& host,
@@ -47,21 +43,6 @@
   return "request:" + digest.Finish();
 }
 
-/// Returns the key of a part of a prompt. Evidence about keys is kept for a
-/// long time, so that the digest stands for a long id.
-std::string PartKey(const std::string& part) {
-  const bool is_long = part.size() > kMaxPartIdBytes;
-  return std::string(kPartPrefix) + (is_long ? kernel::Digest(part) : part);
-}
-
-/// Returns the memory of the keys of a request's work.
-std::uint64_t WorkKeyMemory(const CallerRequestHead& head) {
-  std::uint64_t bytes = 0;
-  for (const std::string& part : head.shared_prompt_parts)
-    bytes += sizeof(std::string) + kPartPrefix.size() + part.size();
-  return bytes;
-}
-
 /// Before any outage of a service was observed, one is expected to last as
 /// long as endpoints wait for a lost endpoint.
 PoolLimits PoolLimitsOf(const GatewaySettings& settings) {
@@ -185,8 +166,8 @@
         organisation->second.urgency.value_or(direct_request.urgency);
   }
   direct_request.service = this->PickService(*direct_request.profile);
-  for (const std::string& part : head.shared_prompt_parts)
-    direct_request.work_keys.push_back(PartKey(part));
+  direct_request.work_keys =
+      PartKeys(head.shared_prompt_parts, this->settings.max_prompt_parts);
   direct_request.work_keys.push_back(
       RequestKey(request, host, direct_request.organisation));
   direct_request.deadline_ms = head.deadline_ms;
@@ -208,7 +189,8 @@
   auto accepted = [&]() -> std::variant<DirectRequest, Rejection> {
     const CallerRequestHead head = this->protocol->ReadRequest(request);
     request_id = head.request_id;
-    if (!exchange.HoldMemory(WorkKeyMemory(head)))
+    if (!exchange.HoldMemory(PartKeyMemory(head.shared_prompt_parts,
+                                           this->settings.max_prompt_parts)))
       return Rejection{kUnavailable, "request_memory", kOverloadRetryMillis};
     return this->Accept(request, head, kernel::BootNow());
   }();
--- a/src/direct/internal/direct_service.h
+++ b/src/direct/internal/direct_service.h
@@ -31,6 +31,8 @@
   kernel::Millis address_ttl{0};
   /// Longest time of a graceful shutdown.
   kernel::Millis grace_period{0};
+  /// Number of parts of a prompt for which evidence about crashes is kept.
+  std::size_t max_prompt_parts = 0;
   RetryLimits retries;
   DirectLimits limits;
 };
