Notice that a caller has left that sent many requests ahead

Callers saw: fewer places at servers, which worked on for callers that had left. Change: from then on the state of the connection is checked each 250 ms. Evidence: http_server::notices_that_a_caller_left_after_it_sent_many_requests failed before. Why it works: the system knows that the peer has closed the connection, also while bytes that it sent before have not been read. If those fill the receive buffer, the end arrives behind them and is not seen; the request's own time bounds that case.

--- a/src/http/internal/http_exchange.cc
+++ b/src/http/internal/http_exchange.cc
@@ -1,6 +1,7 @@
 #include "http/internal/http_exchange.h"
 
 #include <absl/cleanup/cleanup.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -18,6 +19,20 @@
 /// Maximum number of bytes that are passed to the system at a time.
 constexpr std::size_t kMaxWriteBytes = std::size_t{64} * 1024;
 
+/// Interval of the checks whether a caller has left whose bytes are not read.
+constexpr kernel::Millis kDisconnectCheckPeriod{250};
+
+/// Returns whether the peer has closed or reset the connection, also if bytes
+/// that it sent before have not been read.
+bool IsClosedByPeer(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const bool is_known =
+      getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+  return is_known &&
+         (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE);
+}
+
 beast::string_view ToBeast(std::string_view text) {
   return {text.data(), text.size()};
 }
@@ -37,7 +52,8 @@
 
 void ExchangeSignal::WatchForDisconnect(StrandStream::socket_type& socket,
                                         beast::flat_buffer& buffer) {
-  if (buffer.size() >= kMaxPipelinedBytes) return;
+  if (buffer.size() >= kMaxPipelinedBytes)
+    return this->CheckForDisconnect(socket);
   socket.async_wait(
       tcp::socket::wait_read, [self = this->shared_from_this(), &socket,
                                &buffer](const beast::error_code& failure) {
@@ -56,6 +72,15 @@
       });
 }
 
+void ExchangeSignal::CheckForDisconnect(StrandStream::socket_type& socket) {
+  if (IsClosedByPeer(socket.native_handle())) return this->MarkDisconnected();
+  this->check_timer.expires_after(kDisconnectCheckPeriod);
+  this->check_timer.async_wait([self = this->shared_from_this(),
+                                &socket](const beast::error_code& cancelled) {
+    if (!cancelled && !self->detached) self->CheckForDisconnect(socket);
+  });
+}
+
 WakeReason ExchangeSignal::Wait(kernel::TimePoint until,
                                 asio::yield_context yield) {
   while (true) {
--- a/src/http/internal/http_exchange.h
+++ b/src/http/internal/http_exchange.h
@@ -17,29 +17,36 @@
                        public std::enable_shared_from_this<ExchangeSignal> {
  public:
   explicit ExchangeSignal(const Strand& strand)
-      : strand(strand), timer(strand) {}
+      : strand(strand), timer(strand), check_timer(strand) {}
 
   void Notify() override;
 
   /// Monitors `socket` for a disconnect of the caller. Data that arrives before
-  /// it, such as the next request, is added to `buffer`; the monitoring ends
-  /// when that holds too much. Must run on the strand.
+  /// it, such as the next request, is added to `buffer`. When that holds too
+  /// much, only the state of the connection is checked. Must run on the strand.
   void WatchForDisconnect(StrandStream::socket_type& socket,
                           beast::flat_buffer& buffer);
 
   /// Stops using the socket and the buffer, since the exchange has ended. Must
   /// run on the strand.
-  void Detach() { this->detached = true; }
+  void Detach() {
+    this->detached = true;
+    this->check_timer.cancel();
+  }
 
   /// Suspends until notified, until the caller disconnects or until `until`.
   /// Must run on the strand.
   WakeReason Wait(kernel::TimePoint until, asio::yield_context yield);
 
  private:
+  /// Checks from time to time whether the caller has closed its connection,
+  /// since nothing more is read from it.
+  void CheckForDisconnect(StrandStream::socket_type& socket);
   void MarkDisconnected();
 
   Strand strand;
   asio::steady_timer timer;
+  asio::steady_timer check_timer;
   std::atomic<bool> notified{false};
   bool caller_disconnected = false;
   bool detached = false;
--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -358,6 +358,25 @@
   fixture.handler->SetBlocked(false);
 }
 
+// Guards against work that goes on for a caller who has sent more requests ahead
+// than are read, and has left.
+Test(http_server, notices_that_a_caller_left_after_it_sent_many_requests) {
+  const Fixture fixture;
+  fixture.handler->SetBlocked(true);
+  {
+    const RawCaller caller(fixture.server->port());
+    caller.Write(Get("/a", "Host: h\r\n"));
+    cr_assert(fixture.WaitUntilHandled(1));
+    for (int i = 0; i < 2'000; ++i) caller.Write(Get("/b", "Host: h\r\n"));
+  }
+  const auto until = kernel::Clock::now() + std::chrono::seconds(10);
+  while (fixture.handler->DisconnectedCount() == 0 &&
+         kernel::Clock::now() < until) {
+  }
+  cr_expect_eq(fixture.handler->DisconnectedCount(), 1);
+  fixture.handler->SetBlocked(false);
+}
+
 Test(http_server, serves_requests_that_arrive_while_one_is_in_progress) {
   const Fixture fixture;
   fixture.handler->SetBlocked(true);
