--- a/src/http/http_module.cc
+++ b/src/http/http_module.cc
@@ -76,8 +76,8 @@
        "Maximum number of bytes that frame one byte of a chunked request body, "
        "on average."},
       {"http", "patience_ms", SettingKind::kInteger, "2000", false, 100, 60'000,
-       "Milliseconds for which a caller may take nothing before its connection "
-       "gives way to others that need it."}},
+       "Milliseconds after which an incomplete request, or a response that is "
+       "not taken, gives way to others that need its place or memory."}},
      [] { return std::make_unique<HttpModule>(); }});
 
 }  // namespace
--- a/src/http/i_http_runtime.h
+++ b/src/http/i_http_runtime.h
@@ -104,8 +104,9 @@
   std::uint64_t head_bytes = std::uint64_t{16} * 1024 * 1024;
   /// Maximum memory for the responses that wait for their callers, in bytes.
   std::uint64_t response_bytes = std::uint64_t{256} * 1024 * 1024;
-  /// Time for which a caller may take nothing of a response before its
-  /// connection gives way to others.
+  /// Time after which an incomplete request gives way to others that need its
+  /// memory, and a response that the caller has not taken to others that need
+  /// its place or memory.
   kernel::Millis patience{2'000};
 };
 
--- a/src/http/internal/connection_tracker.h
+++ b/src/http/internal/connection_tracker.h
@@ -44,12 +44,12 @@
 /// that has been idle for a while, then the one whose request has been
 /// incomplete for the longest time, then one that has just become idle, since
 /// its caller may be about to send its first request, then the one whose caller
-/// has taken nothing for the longest time. Thread-safe.
+/// has been taking a response for the longest time. Thread-safe.
 class ConnectionTracker {
  public:
   /// @param max_connections maximum number of connections that are served.
-  /// @param patience time for which a caller may take nothing before its
-  /// connection gives way to others.
+  /// @param patience time for which a connection may be idle, or its caller
+  /// take a response, before it gives way to others.
   ConnectionTracker(std::size_t max_connections, kernel::Millis patience);
 
   /// Counts a new connection. Lets another one give way if the maximum is
