Count the memory of a head while it arrives, and free it when it is refused

Cause: the parser keeps each field in some hundred bytes as soon as its line has arrived, so that incomplete heads took 24 times their bytes; the memory of a head was counted when it was complete. A refused head was kept until the refusal had been written. Change: the head is read in steps of 4 KB; after each, its lines are counted and their memory is reserved. A head that finds no room is refused with 503. A refused request is freed before its refusal is written. Why it works: no field is kept whose line has not been counted, and parsing and counting happen without a suspension between them.

--- a/src/http/internal/caller_connection.cc
+++ b/src/http/internal/caller_connection.cc
@@ -15,6 +15,8 @@
 namespace banyanlane::http {
 namespace {
 
+/// Maximum number of bytes of a head that are read at a time.
+constexpr std::size_t kHeadReadBytes = std::size_t{4} * 1024;
 constexpr std::size_t kDiscardBufferBytes = std::size_t{4} * 1024;
 /// Longest time for which the caller takes nothing while its input is
 /// discarded.
@@ -93,19 +95,13 @@
   return remote.address().to_string() + ":" + std::to_string(remote.port());
 }
 
-/// Returns the memory that the head of a request takes at most. It is copied
-/// when the request is forwarded.
-std::uint64_t MemoryOf(const HttpRequest& request) {
+/// Returns the memory that a head, or the first part of one, takes at most.
+std::uint64_t HeadMemory(std::size_t bytes, std::size_t lines) {
+  // A head is copied when the request is forwarded.
   constexpr std::uint64_t kCopies = 2;
-  // The parser keeps the fields until the body is complete.
   constexpr std::uint64_t kParserFieldBytes = 96;
-  std::uint64_t bytes = kCopies * request.target.size();
-  for (const auto& [name, value] : request.headers) {
-    bytes +=
-        kCopies * (sizeof(Headers::value_type) + name.size() + value.size()) +
-        kParserFieldBytes;
-  }
-  return bytes;
+  return kCopies * (bytes + lines * sizeof(Headers::value_type)) +
+         lines * kParserFieldBytes;
 }
 
 void SetHost(Headers& headers, const std::string& authority) {
@@ -197,6 +193,9 @@
 }
 
 bool CallerConnection::ReserveHeadMemory(std::uint64_t bytes) {
+  const std::uint64_t reserved = this->head_memory.bytes();
+  if (reserved > 0)
+    return bytes <= reserved || this->HoldRequestMemory(bytes - reserved);
   auto allocation = this->server->heads().TryReserve(bytes);
   if (allocation) this->head_memory = std::move(*allocation);
   return this->CheckHeld(allocation.has_value(), bytes);
@@ -285,6 +284,48 @@
   return this->CheckHeld(allocation.has_value(), bytes);
 }
 
+CallerConnection::Refusal CallerConnection::TimeoutRefusal() {
+  const beast::error_code timeout = beast::error::timeout;
+  return {StatusForReadError(timeout), timeout.message()};
+}
+
+beast::error_code CallerConnection::ReceiveSome(const RequestParser& parser,
+                                                asio::yield_context yield) {
+  const std::size_t space = this->buffer.max_size() - this->buffer.size();
+  if (space == 0) return beast::http::error::buffer_overflow;
+  beast::error_code failure;
+  const std::size_t count = this->stream.async_read_some(
+      this->buffer.prepare(std::min(space, kHeadReadBytes)), yield[failure]);
+  this->buffer.commit(count);
+  if (failure != asio::error::eof) return failure;
+  return parser.got_some() ? beast::http::error::partial_message
+                           : beast::http::error::end_of_stream;
+}
+
+std::optional<CallerConnection::Refusal> CallerConnection::ReadHead(
+    RequestParser& parser, asio::yield_context yield) {
+  const CallerWaitScope wait(*this, CallerWait::kRequest);
+  std::size_t bytes = 0;
+  std::size_t lines = 0;
+  beast::error_code failure;
+  while (true) {
+    if (this->buffer.size() > 0) {
+      const auto data = this->buffer.data();
+      const std::size_t count = parser.put(data, failure);
+      const auto* begin = static_cast<const char*>(data.data());
+      lines += static_cast<std::size_t>(std::count(begin, begin + count, '\n'));
+      bytes += count;
+      this->buffer.consume(count);
+      if (failure == beast::http::error::need_more) failure = {};
+      if (!failure && !this->ReserveHeadMemory(HeadMemory(bytes, lines)))
+        return Refusal{503, "request_memory", true};
+    }
+    if (!failure && parser.is_header_done()) return {};
+    if (!failure) failure = this->ReceiveSome(parser, yield);
+    if (failure) return Refusal{StatusForReadError(failure), failure.message()};
+  }
+}
+
 std::size_t CallerConnection::ParseBuffered(RequestParser& parser,
                                             beast::error_code& failure) {
   std::size_t consumed_bytes = 0;
@@ -334,14 +375,9 @@
   const kernel::TimePoint until =
       kernel::Clock::now() + kernel::Millis(limits.read_timeout_ms);
   const ReadDeadline deadline(this->stream, this->strand, until);
-  beast::error_code failure;
-  {
-    const CallerWaitScope wait(*this, CallerWait::kRequest);
-    beast::http::async_read_header(this->stream, this->buffer, parser,
-                                   yield[failure]);
-  }
-  if (deadline.HasExpired()) failure = beast::error::timeout;
-  if (failure) return Refusal{StatusForReadError(failure), failure.message()};
+  auto head_refusal = this->ReadHead(parser, yield);
+  if (deadline.HasExpired()) head_refusal = TimeoutRefusal();
+  if (head_refusal) return head_refusal;
   // The parser adds trailer fields to those of the head, which must not be
   // changed by them (RFC 9110, section 6.5.1).
   received.message = this->ExtractHead(parser.get());
@@ -350,14 +386,13 @@
     return Refusal{framing_error->status, std::string(framing_error->reason)};
   if (this->admission == Admission::kRefuse)
     return Refusal{503, "connections", true};
-  if (!this->ReserveHeadMemory(MemoryOf(received.message)))
-    return Refusal{503, "request_memory", true};
   if (parser.is_done()) return {};
   const std::uint64_t bytes =
       parser.content_length().value_or(kBodyIncrementBytes);
   if (!this->ReserveBodyMemory(bytes, until, yield))
     return Refusal{503, "body_memory", true};
   if (WaitsForContinue(parser.get())) {
+    beast::error_code failure;
     asio::async_write(
         this->stream,
         asio::buffer(kContinueResponse.data(), kContinueResponse.size()),
@@ -365,9 +400,7 @@
   }
   auto refusal = this->ReadBody(parser, limits, yield);
   received.message.body = std::move(parser.get().body());
-  if (refusal && deadline.HasExpired())
-    return Refusal{StatusForReadError(beast::error::timeout),
-                   make_error_code(beast::error::timeout).message()};
+  if (refusal && deadline.HasExpired()) return TimeoutRefusal();
   return refusal;
 }
 
@@ -385,16 +418,19 @@
 }
 
 CallerConnection::NextStep CallerConnection::SendRefusal(
-    const Refusal& refusal, const HttpRequest& request,
-    const ServerLimits& limits, asio::yield_context yield) {
+    const Refusal& refusal, HttpRequest request, const ServerLimits& limits,
+    asio::yield_context yield) {
   if (refusal.status == 0) return NextStep::kClose;
   const HttpResponse response =
       refusal.is_overload
           ? this->server->handler().RefuseOverload(request, refusal.reason)
           : MakeProblemResponse(refusal.status, refusal.reason);
+  HttpRequest refused;
+  refused.method = request.method;
+  // What is not counted is freed before the caller takes the response.
+  request = HttpRequest();
+  this->ReleaseRequestMemory();
   {
-    HttpRequest refused;
-    refused.method = request.method;
     HttpExchange exchange(this->stream, this->buffer, this->strand, yield,
                           std::move(refused), limits, false, *this);
     exchange.Reply(response);
@@ -413,7 +449,8 @@
   const bool is_origin_form =
       !request.target.empty() && request.target[0] == '/';
   if (!refusal && !is_origin_form) refusal = Refusal{400, "target"};
-  if (refusal) return this->SendRefusal(*refusal, request, limits, yield);
+  if (refusal)
+    return this->SendRefusal(*refusal, std::move(request), limits, yield);
   HttpExchange exchange(this->stream, this->buffer, this->strand, yield,
                         std::move(request), limits, received.keep_alive, *this);
   if (!this->server->IsAccepting()) exchange.CloseAfterResponse();
--- a/src/http/internal/caller_connection.h
+++ b/src/http/internal/caller_connection.h
@@ -76,6 +76,13 @@
   std::optional<Refusal> ReadRequest(ReceivedRequest& received,
                                      const ServerLimits& limits,
                                      asio::yield_context yield);
+  static Refusal TimeoutRefusal();
+  /// Reads once into the buffer.
+  beast::error_code ReceiveSome(const RequestParser& parser,
+                                asio::yield_context yield);
+  /// Reads the head, and reserves memory for each part of it.
+  std::optional<Refusal> ReadHead(RequestParser& parser,
+                                  asio::yield_context yield);
   /// Parses what is in the buffer, without a suspension for each chunk.
   /// @param failure receives the reason if it can't be parsed.
   /// @return the number of bytes parsed.
@@ -96,7 +103,8 @@
   /// Reserves more memory for a body without waiting.
   /// @return false if it is not available.
   bool ExtendBodyMemory(std::uint64_t bytes);
-  /// Reserves memory for a head.
+  /// Reserves memory for a head, which has some already if it has grown.
+  /// @param bytes memory of all that has arrived of it.
   /// @return false if it is not available.
   bool ReserveHeadMemory(std::uint64_t bytes);
   void ReleaseRequestMemory();
@@ -104,7 +112,7 @@
   /// @param bytes what was to be reserved.
   /// @return `is_held`.
   bool CheckHeld(bool is_held, std::uint64_t bytes);
-  NextStep SendRefusal(const Refusal& refusal, const HttpRequest& request,
+  NextStep SendRefusal(const Refusal& refusal, HttpRequest request,
                        const ServerLimits& limits, asio::yield_context yield);
   /// Shuts down sending, then reads and discards input until the caller closes
   /// the connection or takes nothing for a time. Closing the socket with unread
