Return large blocks of memory to the system when they are freed

Callers saw: a gateway that grew with each crowd and kept its size when the crowd had left: 69 MB with settings of 64 MB after three rounds of crowds that ask for large responses, send many fields, and send large bodies, one after the other. Cause: the allocator maps large blocks at first. When one is freed it raises the size from which it maps, up to 32 MB, so that later bodies and responses lie on the heap, between small blocks that keep them from being returned. Change: the size is set to 128 KB when the process starts. Why it works: a size that is set does not change.

--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,6 +1,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <cstdio>
@@ -119,6 +120,14 @@
   return kExitOk;
 }
 
+/// Lets large blocks of memory be mapped, so that they are returned to the
+/// system when they are freed. By default the size from which this holds grows
+/// with the blocks that are freed, and others keep what lies between them.
+void MapLargeBlocks() {
+  constexpr int kMappedBlockBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
+}
+
 int RunCommand(const std::vector<std::string>& arguments) {
   const std::string command = arguments.empty() ? "" : arguments[0];
   if (const auto role = kernel::ParseRole(command)) return RunRole(*role);
@@ -145,6 +154,7 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  banyanlane::app::MapLargeBlocks();
   absl::SetProgramUsageMessage(banyanlane::app::kUsage);
   const std::vector<char*> parsed = absl::ParseCommandLine(argc, argv);
   const std::vector<std::string> arguments(parsed.begin() + 1, parsed.end());
--- a/tests/processes/misbehaving_client_test.cc
+++ b/tests/processes/misbehaving_client_test.cc
@@ -52,6 +52,14 @@
          fields + "\r\n";
 }
 
+/// Returns the head of a request whose body is as large as it may be.
+std::string LargeBodyHead(const std::string& path) {
+  return "POST " + path +
+         " HTTP/1.1\r\nhost: h.example\r\nx-request-id: c\r\n"
+         "x-deadline-ms: 60000\r\ncontent-length: " +
+         std::to_string(kLargestBody) + "\r\n\r\n";
+}
+
 std::string Repeat(const std::string& text, std::size_t times) {
   std::string repeated;
   for (std::size_t i = 0; i < times; ++i) repeated += text;
@@ -303,11 +311,8 @@
 }
 
 Test(misbehaving_clients, bodies_at_a_silent_server) {
-  const std::string head =
-      "POST /plain/hold HTTP/1.1\r\nhost: h.example\r\nx-request-id: c\r\n"
-      "x-deadline-ms: 60000\r\ncontent-length: " +
-      std::to_string(kLargestBody) + "\r\n\r\n";
-  StandAtGateway("", 40, {head, EndlessLine(), kLargestBody});
+  StandAtGateway("", 40,
+                 {LargeBodyHead("/plain/hold"), EndlessLine(), kLargestBody});
 }
 
 Test(misbehaving_clients, trailer_fields_of_servers_without_end) {
@@ -368,6 +373,22 @@
   cr_expect(fleet.Serves());
 }
 
+// Guards against memory that is free after a crowd and of no use to the next.
+Test(misbehaving_clients, one_kind_after_the_other) {
+  SmallFleet fleet(false, "[http]\nmemory_mb=64\ndescriptors=2000\n");
+  const std::pair<std::size_t, ClientScript> crowds[] = {
+      {60, {Head("/plain/large"), "", 0}},
+      {1'000, {Head("/plain/a", Repeat("a:\r\n", 3'900)), "", 0}},
+      {40, {LargeBodyHead("/plain/a"), EndlessLine(), kLargestBody}}};
+  for (int round = 0; round < 3; ++round) {
+    for (const auto& [count, script] : crowds) {
+      ClientCrowd crowd(fleet.Address("g1"), count, script);
+      Stand(fleet, "g1", crowd, 2'000);
+    }
+    cr_expect(fleet.Serves());
+  }
+}
+
 Test(misbehaving_clients, bodies_to_the_port_for_links) {
   StandAtGateway("-link", 20, {kBodyForLinks, EndlessLine(), 16 * kMegabyte});
 }
