--- a/tests/processes/misbehaving_client_test.cc
+++ b/tests/processes/misbehaving_client_test.cc
@@ -409,6 +409,19 @@
   StandAtGateway("-link", 600, {"G", "", 0, true});
 }
 
+// Guards against a crowd that keeps peers out.
+Test(misbehaving_clients, a_peer_finds_a_place_beside_connections_for_links) {
+  SmallFleet fleet;
+  ClientCrowd crowd(fleet.Address("g1-link"), 100, {"G", "", 0, true});
+  Stand(fleet, "g1", crowd);
+  fleet.AddGateway("g2");
+  cr_expect(Fleet::Await([&] {
+    crowd.SendSome();
+    return fleet.AdminPage("g1", "/metrics")
+               .find("banyanlane_gateways_live 2") != std::string::npos;
+  }));
+}
+
 Test(misbehaving_clients, crowds_at_a_rank_agent) {
   for (const bool is_for_links : {false, true}) {
     RankFleet fleet;
