--- a/tests/processes/misbehaving_client_test.cc
+++ b/tests/processes/misbehaving_client_test.cc
@@ -204,6 +204,7 @@
 /// Entry e1 before the agent m1 of an engine, all with lowered limits.
 struct EntryFleet : Fleet {
   EntryFleet() {
+    this->token_millis = 0;
     this->StartPlatform(processes::kConfig);
     this->AddEndpoint("m1", "engine", "model", false, kSettings);
     this->AddEntry("e1", kSettings);
@@ -447,6 +448,35 @@
   cr_expect(fleet.Serves());
 }
 
+/// Lets clients of an entry ask for responses of 8 MB that they do not read.
+void StandAtEntry(bool stream) {
+  EntryFleet fleet;
+  {
+    const http::HttpRequest request =
+        Fleet::ChatRequest(std::string(2'000, 'm'), 4'000, stream);
+    std::string head = "POST " + request.target + " HTTP/1.1\r\nhost: a\r\n";
+    for (const auto& [name, value] : request.headers)
+      head += name + ": " + value + "\r\n";
+    head +=
+        "content-length: " + std::to_string(request.body.size()) + "\r\n\r\n";
+    ClientCrowd crowd(fleet.Address("e1"), 60, {head + request.body, "", 0});
+    Stand(fleet, "e1", crowd);
+    cr_expect(fleet.IsRunning("m1"));
+    const std::uint64_t peak = PeakResidentBytes(fleet.Pid("m1"));
+    cr_expect_lt(peak, kMemory, "peak of %lu MB at the agent",
+                 peak / kMegabyte);
+  }
+  cr_expect(Fleet::Await([&] { return fleet.Serves(); }));
+}
+
+Test(misbehaving_clients, streams_of_an_entry_that_are_not_read) {
+  StandAtEntry(true);
+}
+
+Test(misbehaving_clients, responses_of_an_entry_that_are_not_read) {
+  StandAtEntry(false);
+}
+
 Test(misbehaving_clients, bodies_to_the_port_for_links_of_an_agent) {
   EntryFleet fleet;
   {
