--- a/src/http/tests/http_server_test.cc
+++ b/src/http/tests/http_server_test.cc
@@ -358,8 +358,8 @@
   fixture.handler->SetBlocked(false);
 }
 
-// Guards against work that goes on for a caller who has sent more requests ahead
-// than are read, and has left.
+// Guards against work that goes on for a caller who has sent more requests
+// ahead than are read, and has left.
 Test(http_server, notices_that_a_caller_left_after_it_sent_many_requests) {
   const Fixture fixture;
   fixture.handler->SetBlocked(true);
